--- a/balsamyard/src/Core/Messages.h
+++ b/balsamyard/src/Core/Messages.h
@@ -81,26 +81,34 @@
   std::string Body;
 };
 
-/// \brief Asks a peer for the configuration newer than Have.
+/// \brief Asks a peer for all documents newer than Have.
 struct ConfigFetch {
   ConfigVersion Have{};
 };
 
-/// \brief Replaces Removed lines at line First (from 0) by Added.
+/// \brief Replaces Removed lines from line First (from 0) on by Added. Lines
+/// are numbered as in the text before any edit.
 struct LineEdit {
   std::uint32_t First = 0;
   std::uint32_t Removed = 0;
   std::vector<std::string> Added;
 };
 
-/// \brief Configuration change from From to To. From 0 means the whole text.
-struct ConfigDelta {
+/// \brief Change of one shared document. From 0 means the whole text.
+struct DocumentDelta {
+  std::string Name;
   ConfigVersion From{};
   ConfigVersion To{};
-  std::string Digest;
+  std::string Digest; ///< Of the whole text at To.
   std::vector<LineEdit> Edits;
 };
 
+/// \brief Every document that changed up to configuration version To.
+struct ConfigDelta {
+  ConfigVersion To{};
+  std::vector<DocumentDelta> Documents;
+};
+
 /// \brief A slot was seen in cold start.
 struct SlotCold {
   SlotKey Slot;
--- a/balsamyard/src/Process/PlatformClient.h
+++ b/balsamyard/src/Process/PlatformClient.h
@@ -32,6 +32,12 @@
   std::uint64_t Version = 0;
 };
 
+/// \brief Objects below a prefix and the store's version counter.
+struct PlatformListing {
+  std::uint64_t Version = 0;
+  std::vector<PlatformEntry> Entries;
+};
+
 /// \brief Blocking client of the platform's object API. Thread-safe.
 ///
 /// Errors: PlatformUnavailable (for updates: it may have taken effect),
@@ -54,12 +60,17 @@
                                  const std::string &Value,
                                  std::uint64_t IfVersion);
 
-  /// \brief Waits until the object is newer than \p After.
-  /// \returns the object, or ObjectAbsent if nothing changed in time.
-  Expected<PlatformObject> watch(const std::string &Name, std::uint64_t After,
-                                 Duration Wait);
+  /// \brief Deletes the object if its version is still \p IfVersion.
+  Expected<void> erase(const std::string &Name, std::uint64_t IfVersion);
+
+  /// \returns all objects below \p Prefix.
+  Expected<PlatformListing> list(const std::string &Prefix);
+
+  /// \brief Waits until an object below \p Prefix is newer than \p After.
+  /// \returns the newer objects; none if nothing changed in time.
+  Expected<PlatformListing> watch(const std::string &Prefix,
+                                  std::uint64_t After);
 
-  Expected<std::vector<PlatformEntry>> list(const std::string &Prefix);
   Expected<std::vector<PlatformVm>> vms();
 
   /// \brief Ends all waiting calls; later calls fail at once.
--- a/balsamyard/src/Version/Catalog.h
+++ b/balsamyard/src/Version/Catalog.h
@@ -56,7 +56,7 @@
   bool hasRoute(const RouteName &Route) const;
 };
 
-/// \brief Reads the JSON value of the platform object `catalog/SERVICE`.
+/// \brief Reads the JSON value of the platform object `shared/catalog/SERVICE`.
 Expected<ServiceCatalog> parseCatalog(std::string_view Json);
 
 /// \returns the JSON value of \p Catalog. \sa parseCatalog
--- a/balsamyard/src/Version/ShareTable.h
+++ b/balsamyard/src/Version/ShareTable.h
@@ -36,8 +36,8 @@
 
 /// \brief Owners of the lanes of every leaf group of one failure domain.
 ///
-/// Value of the platform object `shares/DOMAIN`. The position in the vector is
-/// the lane number; an empty name is a lane without an owner.
+/// Value of the platform object `shared/shares/DOMAIN`. The position in the
+/// vector is the lane number; an empty name is a lane without an owner.
 struct ShareTable {
   DomainName Domain;
   std::uint64_t Version = 0;
@@ -53,7 +53,7 @@
   WallTime Since{};
 };
 
-/// \brief Value of the platform object `shares/gates`.
+/// \brief Value of the platform object `shared/gates`.
 struct GateTable {
   std::uint64_t Version = 0;
   std::array<GateOwner, WriteGateCount> Gates;
