Add the HTTP/2 transport between own processes

Cause: entry and holder processes need many concurrent streams per peer with cancellation in both directions. Ruled out: nghttp2-asio (not packaged); running user handlers after nghttp2 returned (needs another queue, and nghttp2 allows submitting from callbacks). Change: Http2Session drives nghttp2 from an Asio socket on one strand per connection; PeerServer and PeerClient move length-prefixed messages over it. MaxMessageBytes moves to Core/Messages.h, because the transport enforces it and must not include the codec. makeRef() value-initializes when it has no arguments; braces would initialize an aggregate's protected base. Sent is also false if the peer refused the stream unprocessed.

--- a/balsamyard/src/Connection/PeerClient.h
+++ b/balsamyard/src/Connection/PeerClient.h
@@ -15,7 +15,7 @@
 class PeerCall : public RefCounted<PeerCall> {
 public:
   struct State;
-  explicit PeerCall(std::shared_ptr<State> Shared);
+  explicit PeerCall(Ref<State> Shared);
   ~PeerCall();
 
   /// \brief Resets the stream; no handler is called after cancel() returned
@@ -23,12 +23,14 @@
   void cancel();
 
 private:
-  std::shared_ptr<State> Shared;
+  Ref<State> Shared;
 };
 
 /// \brief Keeps one HTTP/2 connection per peer and runs many calls over it.
 ///
 /// Runs its own Asio threads. Every member may be called from any thread.
+/// Destroying it ends running calls with PeerUnreachable and drops the tasks of
+/// after(); it must not be destroyed by one of its handlers.
 /// \sa PeerServer
 class PeerClient {
 public:
@@ -37,7 +39,8 @@
 
   /// \brief Called exactly once: Ok after the last message, PeerUnreachable,
   /// DeadlineExceeded, Cancelled or MalformedMessage otherwise. Sent is false
-  /// only if no byte of the request can have reached the peer.
+  /// only if no byte of the request can have reached the peer, or the peer
+  /// refused the stream before its handler saw it.
   using CloseHandler = std::function<void(Code Result, bool Sent)>;
 
   explicit PeerClient(std::size_t Threads);
--- /dev/null
+++ b/balsamyard/src/Connection/PeerServer.cpp
@@ -0,0 +1,275 @@
+#include "balsamyard/src/Connection/PeerServer.h"
+
+#include "balsamyard/src/Connection/Http2Session.h"
+
+#include <atomic>
+#include <map>
+#include <mutex>
+#include <nghttp2/nghttp2.h>
+#include <optional>
+
+namespace balsamyard {
+
+using internal::Http2Session;
+using internal::Http2Stream;
+using internal::IoThreads;
+using internal::Strand;
+
+namespace {
+
+/// Pause after a failed accept, for example when descriptors run out.
+constexpr std::chrono::milliseconds AcceptPause(100);
+
+/// A stream as its handler and its session share it. Held by queued tasks, so
+/// it holds no IoThreads.
+struct StreamState : RefCounted<StreamState> {
+  StreamState(Ref<Http2Session> Session, Ref<Http2Stream> Stream, Strand Order)
+      : Session(std::move(Session)), Stream(std::move(Stream)),
+        Order(std::move(Order)) {}
+
+  Ref<Http2Session> Session;
+  Ref<Http2Stream> Stream;
+  Strand Order;
+  std::atomic<bool> Cancelled{false};
+  std::atomic<bool> Finished{false};
+  std::function<void()> OnCancel; ///< Touched on the strand only.
+};
+
+/// Collects the one message of a request.
+struct RequestState : RefCounted<RequestState> {
+  std::optional<std::string> Message;
+};
+
+} // namespace
+
+struct PeerStream::State : RefCounted<PeerStream::State> {
+  State(Ref<IoThreads> Io, Ref<StreamState> Inner)
+      : Io(std::move(Io)), Inner(std::move(Inner)) {}
+
+  Ref<IoThreads> Io; ///< Declared first, so that it is released last.
+  Ref<StreamState> Inner;
+};
+
+PeerStream::PeerStream(Ref<State> Shared) : Shared(std::move(Shared)) {}
+
+PeerStream::~PeerStream() {
+  const Ref<StreamState> &Inner = this->Shared->Inner;
+  if (Inner->Finished.exchange(true))
+    return;
+  asio::post(Inner->Order, [Inner] {
+    Inner->OnCancel = nullptr;
+    Inner->Session->reset(*Inner->Stream, NGHTTP2_INTERNAL_ERROR);
+  });
+}
+
+void PeerStream::send(std::string Message) {
+  const Ref<StreamState> &Inner = this->Shared->Inner;
+  asio::post(Inner->Order, [Inner, Message = std::move(Message)] {
+    Inner->Session->send(*Inner->Stream, Message);
+  });
+}
+
+void PeerStream::finish() {
+  const Ref<StreamState> &Inner = this->Shared->Inner;
+  if (Inner->Finished.exchange(true))
+    return;
+  asio::post(Inner->Order, [Inner] {
+    Inner->OnCancel = nullptr;
+    Inner->Session->finish(*Inner->Stream);
+  });
+}
+
+void PeerStream::onCancel(std::function<void()> Handler) {
+  const Ref<StreamState> &Inner = this->Shared->Inner;
+  asio::dispatch(Inner->Order, [Inner, Handler = std::move(Handler)]() mutable {
+    if (Inner->Finished)
+      return;
+    if (Inner->Cancelled)
+      Handler();
+    else
+      Inner->OnCancel = std::move(Handler);
+  });
+}
+
+bool PeerStream::cancelled() const { return this->Shared->Inner->Cancelled; }
+
+struct PeerServer::Impl {
+  Impl(std::size_t Threads, Handler OnRequest)
+      : Io(makeRef<IoThreads>(Threads)), AcceptOrder(this->Io->makeStrand()),
+        Acceptor(this->AcceptOrder), AcceptTimer(this->AcceptOrder),
+        OnRequest(std::move(OnRequest)) {}
+
+  struct Entry {
+    Ref<Http2Session> Session;
+    Strand Order;
+  };
+
+  void accept();
+  void serve(asio::ip::tcp::socket Socket, const Strand &Order);
+  void open(Http2Session *Session, const Strand &Order, Http2Stream &Stream);
+  std::vector<Entry> sessions();
+
+  Ref<IoThreads> Io;
+  Strand AcceptOrder;
+  asio::ip::tcp::acceptor Acceptor;
+  asio::steady_timer AcceptTimer;
+  Handler OnRequest;
+  Endpoint Local;
+  std::mutex Mutex; ///< Guards the members below; not taken by requests.
+  std::map<Http2Session *, Entry> Sessions;
+  bool Stopping = false;
+};
+
+void PeerServer::Impl::accept() {
+  Strand Order = this->Io->makeStrand();
+  this->Acceptor.async_accept(
+      Order,
+      [this, Order](const asio::error_code &Fault, asio::ip::tcp::socket Made) {
+        if (!Fault)
+          this->serve(std::move(Made), Order);
+        if (!this->Acceptor.is_open())
+          return;
+        if (!Fault) {
+          this->accept();
+          return;
+        }
+        this->AcceptTimer.expires_after(AcceptPause);
+        this->AcceptTimer.async_wait([this](const asio::error_code &Cancelled) {
+          if (!Cancelled && this->Acceptor.is_open())
+            this->accept();
+        });
+      });
+}
+
+void PeerServer::Impl::serve(asio::ip::tcp::socket Socket,
+                             const Strand &Order) {
+  Http2Session::Handlers Events;
+  // The session calls its handlers only while it lives, and it leaves the map
+  // before it ends.
+  auto Self = std::make_shared<Http2Session *>(nullptr);
+  Events.OnOpen = [this, Self, Order](Http2Stream &Stream) {
+    this->open(*Self, Order, Stream);
+  };
+  Events.OnClosed = [this, Self] {
+    std::lock_guard<std::mutex> Lock(this->Mutex);
+    this->Sessions.erase(*Self);
+  };
+  auto Session = makeRef<Http2Session>(Http2Session::Side::Server,
+                                       std::move(Socket), std::move(Events));
+  *Self = Session.get();
+  {
+    std::lock_guard<std::mutex> Lock(this->Mutex);
+    if (this->Stopping)
+      return;
+    this->Sessions.emplace(Session.get(), Entry{Session, Order});
+  }
+  asio::post(Order, [Session, Drain = !this->Acceptor.is_open()] {
+    Session->start();
+    // It was accepted just before drain() closed the acceptor.
+    if (Drain)
+      Session->drain();
+  });
+}
+
+void PeerServer::Impl::open(Http2Session *Session, const Strand &Order,
+                            Http2Stream &Stream) {
+  auto Request = makeRef<RequestState>();
+  auto Inner = makeRef<StreamState>(Ref<Http2Session>(Session),
+                                    Ref<Http2Stream>(&Stream), Order);
+  Stream.Handlers.OnMessage = [Inner, Request](std::string Message) {
+    if (!Request->Message) {
+      Request->Message = std::move(Message);
+      return;
+    }
+    Inner->Session->reset(*Inner->Stream, NGHTTP2_PROTOCOL_ERROR);
+  };
+  Stream.Handlers.OnRequestEnd = [this, Inner, Request] {
+    if (!Request->Message) {
+      Inner->Session->reset(*Inner->Stream, NGHTTP2_PROTOCOL_ERROR);
+      return;
+    }
+    this->OnRequest(
+        Inner->Stream->Path, std::move(*Request->Message),
+        makeRef<PeerStream>(makeRef<PeerStream::State>(this->Io, Inner)));
+  };
+  Stream.Handlers.OnEnd = [Inner](const internal::StreamEnd & /*End*/) {
+    if (Inner->Finished)
+      return;
+    Inner->Cancelled = true;
+    if (auto Handler = std::move(Inner->OnCancel)) {
+      Inner->OnCancel = nullptr;
+      Handler();
+    }
+  };
+}
+
+std::vector<PeerServer::Impl::Entry> PeerServer::Impl::sessions() {
+  std::lock_guard<std::mutex> Lock(this->Mutex);
+  std::vector<Entry> Result;
+  for (const auto &[Session, Kept] : this->Sessions)
+    Result.push_back(Kept);
+  return Result;
+}
+
+PeerServer::PeerServer(std::unique_ptr<Impl> Implementation)
+    : Implementation(std::move(Implementation)) {}
+
+Expected<std::unique_ptr<PeerServer>>
+PeerServer::listen(const Endpoint &At, std::size_t Threads, Handler OnRequest) {
+  asio::error_code Fault;
+  asio::ip::address Address = asio::ip::make_address(At.Address, Fault);
+  if (Fault)
+    return fail(Code::PeerUnreachable,
+                "cannot listen on " + toText(At) + ": " + Fault.message());
+  auto Made = std::make_unique<Impl>(Threads, std::move(OnRequest));
+  asio::ip::tcp::endpoint Local(Address, At.Port);
+  asio::ip::tcp::acceptor &Acceptor = Made->Acceptor;
+  Acceptor.open(Local.protocol(), Fault);
+  if (!Fault)
+    Acceptor.set_option(asio::socket_base::reuse_address(true), Fault);
+  if (!Fault)
+    Acceptor.bind(Local, Fault);
+  if (!Fault)
+    Acceptor.listen(asio::socket_base::max_listen_connections, Fault);
+  if (!Fault)
+    Local = Acceptor.local_endpoint(Fault);
+  if (Fault) {
+    Made->Io->finish();
+    return fail(Code::PeerUnreachable,
+                "cannot listen on " + toText(At) + ": " + Fault.message());
+  }
+  Made->Local = {Local.address().to_string(), Local.port()};
+  asio::post(Made->AcceptOrder, [Raw = Made.get()] { Raw->accept(); });
+  return std::unique_ptr<PeerServer>(new PeerServer(std::move(Made)));
+}
+
+PeerServer::~PeerServer() {
+  Impl &Own = *this->Implementation;
+  {
+    std::lock_guard<std::mutex> Lock(Own.Mutex);
+    Own.Stopping = true;
+  }
+  asio::post(Own.AcceptOrder, [&Own] {
+    asio::error_code Ignored;
+    Own.Acceptor.close(Ignored);
+    Own.AcceptTimer.cancel();
+  });
+  for (const Impl::Entry &Kept : Own.sessions())
+    asio::post(Kept.Order, [Session = Kept.Session] { Session->close(); });
+  Own.Io->finish();
+}
+
+Endpoint PeerServer::local() const { return this->Implementation->Local; }
+
+void PeerServer::drain() {
+  Impl &Own = *this->Implementation;
+  asio::post(Own.AcceptOrder, [&Own] {
+    asio::error_code Ignored;
+    Own.Acceptor.close(Ignored);
+    Own.AcceptTimer.cancel();
+    for (const Impl::Entry &Kept : Own.sessions())
+      asio::post(Kept.Order, [Session = Kept.Session] { Session->drain(); });
+  });
+}
+
+} // namespace balsamyard
--- a/balsamyard/src/Connection/PeerServer.h
+++ b/balsamyard/src/Connection/PeerServer.h
@@ -11,14 +11,17 @@
 namespace balsamyard {
 
 /// \brief The server side of one HTTP/2 stream. Every member may be called from
-/// any thread.
+/// any thread, also after the server is gone.
+///
+/// Dropping the last reference before finish() resets the stream.
 class PeerStream : public RefCounted<PeerStream> {
 public:
   struct State;
-  explicit PeerStream(std::shared_ptr<State> Shared);
+  explicit PeerStream(Ref<State> Shared);
   ~PeerStream();
 
-  /// \brief Queues one message to the client.
+  /// \brief Queues one message to the client. A message above MaxMessageBytes,
+  /// or more than 16 of that size queued, resets the stream.
   void send(std::string Message);
 
   /// \brief Ends the stream after all queued messages.
@@ -31,13 +34,14 @@
   bool cancelled() const;
 
 private:
-  std::shared_ptr<State> Shared;
+  Ref<State> Shared;
 };
 
 /// \brief Accepts HTTP/2 connections from other balsamyard processes.
 ///
-/// Runs its own Asio threads. A request is one message; a reply is a sequence
-/// of messages. \sa PeerClient
+/// Runs its own Asio threads. Destroying it breaks the streams that still run;
+/// it must not be destroyed by one of its handlers. A request is one message; a
+/// reply is a sequence of messages. \sa PeerClient
 class PeerServer {
 public:
   /// \brief Called on an Asio thread; must not block.
--- a/balsamyard/src/Core/Messages.h
+++ b/balsamyard/src/Core/Messages.h
@@ -4,6 +4,7 @@
 #include "balsamyard/src/Core/Names.h"
 #include "balsamyard/src/Core/Time.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <variant>
@@ -11,6 +12,9 @@
 
 namespace balsamyard {
 
+/// \brief Longest message between own processes, in bytes.
+inline constexpr std::size_t MaxMessageBytes = 1 << 20;
+
 /// \brief Whether a request ran. "NotRun" is only said if no target has started
 /// it or still can.
 enum class Outcome : std::uint8_t { NotRun, Unknown, Ran };
--- a/balsamyard/src/Core/RefCounted.h
+++ b/balsamyard/src/Core/RefCounted.h
@@ -39,7 +39,11 @@
 
 /// \returns a new object with one reference.
 template <typename T, typename... Args> Ref<T> makeRef(Args &&...Arguments) {
-  return Ref<T>(new T{static_cast<Args &&>(Arguments)...});
+  // Braces would make an aggregate initialize its base from outside.
+  if constexpr (sizeof...(Args) == 0)
+    return Ref<T>(new T());
+  else
+    return Ref<T>(new T{static_cast<Args &&>(Arguments)...});
 }
 
 } // namespace balsamyard
--- a/balsamyard/src/Process/Codec.h
+++ b/balsamyard/src/Process/Codec.h
@@ -8,9 +8,6 @@
 
 namespace balsamyard {
 
-/// \brief Longest message between own processes, in bytes.
-inline constexpr std::size_t MaxMessageBytes = 1 << 20;
-
 /// \returns the CBOR encoding of a message of Core/Messages.h.
 template <typename Message> std::string encode(const Message &Value);
 
