--- /dev/null
+++ b/balsamyard/src/Connection/SlotStats.cpp
@@ -0,0 +1,131 @@
+#include "balsamyard/src/Connection/SlotStats.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace balsamyard {
+
+namespace {
+
+/// Weight of a new observation in a moving average, as a divisor.
+constexpr std::int64_t AverageDivisor = 8;
+
+constexpr double LogScale = 4294967296.0; // 2^32
+
+/// Relative step of LatencyQuantile: at the 95th percentile one slow answer
+/// raises the estimate by 7% and one fast answer lowers it by 0.4%.
+constexpr double QuantileStep = 0.1;
+
+std::int64_t toMicros(TimePoint At) { return At.time_since_epoch().count(); }
+
+} // namespace
+
+void SlotStats::observe(Duration Latency, TimePoint Now) {
+  const std::int64_t Former = this->latency(Now).count();
+  const std::int64_t Sample = std::max<std::int64_t>(Latency.count(), 1);
+  const std::int64_t Next =
+      Former == 0 ? Sample : Former + (Sample - Former) / AverageDivisor;
+  this->AverageMicros.store(std::max<std::int64_t>(Next, 1),
+                            std::memory_order_relaxed);
+  this->ObservedAtMicros.store(toMicros(Now), std::memory_order_relaxed);
+}
+
+void SlotStats::observeAtLeast(Duration Age, TimePoint Now) {
+  if (Age > this->latency(Now))
+    this->observe(Age, Now);
+}
+
+Duration SlotStats::latency(TimePoint Now) const {
+  const std::int64_t Average =
+      this->AverageMicros.load(std::memory_order_relaxed);
+  const std::int64_t Idle =
+      toMicros(Now) - this->ObservedAtMicros.load(std::memory_order_relaxed);
+  if (Average == 0 || Idle <= 0)
+    return Duration(Average);
+  const std::int64_t Halvings = Idle / HalfLife.count();
+  if (Halvings >= 32)
+    return Duration(1);
+  // Linear between two halvings, which avoids exp2 on the path of a request.
+  const std::int64_t Floor = Average >> Halvings;
+  const std::int64_t Rest = Idle % HalfLife.count();
+  return Duration(
+      std::max<std::int64_t>(Floor - Floor * Rest / (2 * HalfLife.count()), 1));
+}
+
+void HolderStats::observeFailure(TimePoint Now) {
+  this->AvoidUntilMicros.store(toMicros(Now + AvoidTime),
+                               std::memory_order_relaxed);
+}
+
+bool HolderStats::avoided(TimePoint Now) const {
+  return toMicros(Now) < this->AvoidUntilMicros.load(std::memory_order_relaxed);
+}
+
+LatencyQuantile::LatencyQuantile(double Quantile, Duration First)
+    : StepUp(static_cast<std::int64_t>(QuantileStep * Quantile * LogScale)),
+      StepDown(
+          static_cast<std::int64_t>(QuantileStep * (1 - Quantile) * LogScale)),
+      LogValue(static_cast<std::int64_t>(
+          std::log2(static_cast<double>(First.count())) * LogScale)) {}
+
+void LatencyQuantile::observe(Duration Latency) {
+  if (Latency > this->value())
+    this->LogValue.fetch_add(this->StepUp, std::memory_order_relaxed);
+  else
+    this->LogValue.fetch_sub(this->StepDown, std::memory_order_relaxed);
+}
+
+Duration LatencyQuantile::value() const {
+  const double Log =
+      static_cast<double>(this->LogValue.load(std::memory_order_relaxed)) /
+      LogScale;
+  return Duration(static_cast<std::int64_t>(std::exp2(Log)));
+}
+
+void ServiceStats::ended(Duration HalfTime, std::uint32_t InFlightAtStart) {
+  this->InFlight.fetch_sub(1, std::memory_order_relaxed);
+  const std::int64_t Former =
+      this->HalfTimeMicros.load(std::memory_order_relaxed);
+  this->HalfTimeMicros.store(
+      Former == 0 ? HalfTime.count()
+                  : Former + (HalfTime.count() - Former) / AverageDivisor,
+      std::memory_order_relaxed);
+  const double Usual = this->UsualInFlight.load(std::memory_order_relaxed);
+  this->UsualInFlight.store(Usual + (InFlightAtStart - Usual) / AverageDivisor,
+                            std::memory_order_relaxed);
+}
+
+Duration ServiceStats::halfTime() const {
+  return Duration(this->HalfTimeMicros.load(std::memory_order_relaxed));
+}
+
+double ServiceStats::usualInFlight() const {
+  return this->UsualInFlight.load(std::memory_order_relaxed);
+}
+
+Ref<SlotStats> StatsTable::slot(const SlotKey &Key, const VersionName &Version,
+                                const Endpoint &Address) {
+  std::lock_guard<std::mutex> Lock(this->Mutex);
+  Ref<SlotStats> &Entry = this->Slots[{Key, Version, Address}];
+  if (!Entry)
+    Entry = makeRef<SlotStats>();
+  return Entry;
+}
+
+Ref<HolderStats> StatsTable::holder(const NodeName &Node) {
+  std::lock_guard<std::mutex> Lock(this->Mutex);
+  Ref<HolderStats> &Entry = this->Holders[Node];
+  if (!Entry)
+    Entry = makeRef<HolderStats>();
+  return Entry;
+}
+
+Ref<ServiceStats> StatsTable::service(const ServiceName &Service) {
+  std::lock_guard<std::mutex> Lock(this->Mutex);
+  Ref<ServiceStats> &Entry = this->Services[Service];
+  if (!Entry)
+    Entry = makeRef<ServiceStats>();
+  return Entry;
+}
+
+} // namespace balsamyard
--- /dev/null
+++ b/balsamyard/src/Connection/SlotStats.h
@@ -0,0 +1,141 @@
+#pragma once
+
+#include "balsamyard/src/Core/Names.h"
+#include "balsamyard/src/Core/RefCounted.h"
+#include "balsamyard/src/Core/Time.h"
+
+#include <atomic>
+#include <cstdint>
+#include <map>
+#include <mutex>
+
+namespace balsamyard {
+
+/// \brief Latency and load of one slot as this entry process sees them.
+///
+/// Every member may be called from any thread. Concurrent observations may
+/// overwrite each other; the average is an estimate and needs no exact count.
+class SlotStats : public RefCounted<SlotStats> {
+public:
+  /// \brief A slot that is not used any more looks faster with time, so that a
+  /// recovered straggler is tried again.
+  static constexpr Duration HalfLife = std::chrono::seconds(2);
+
+  /// \brief Counted for a failed request, so that a slot that fails at once
+  /// does not attract more requests than a healthy one.
+  static constexpr Duration FailurePenalty = std::chrono::seconds(1);
+
+  void started() { this->InFlight.fetch_add(1, std::memory_order_relaxed); }
+  void ended() { this->InFlight.fetch_sub(1, std::memory_order_relaxed); }
+
+  /// \brief Adds an answer time to the moving average.
+  void observe(Duration Latency, TimePoint Now);
+
+  /// \brief Adds a failure to the moving average. \sa FailurePenalty
+  void observeFailure(TimePoint Now) { this->observe(FailurePenalty, Now); }
+
+  /// \brief Adds the age of a request that was given up. It raises the average
+  /// but never lowers it, because the true answer time is longer.
+  void observeAtLeast(Duration Age, TimePoint Now);
+
+  /// \returns the average latency, halved for each HalfLife without an
+  /// observation; 0 if the slot was never observed.
+  Duration latency(TimePoint Now) const;
+
+  std::uint32_t inFlight() const {
+    return this->InFlight.load(std::memory_order_relaxed);
+  }
+
+private:
+  std::atomic<std::int64_t> AverageMicros{0};
+  std::atomic<std::int64_t> ObservedAtMicros{0};
+  std::atomic<std::uint32_t> InFlight{0};
+};
+
+/// \brief Whether a holder could be reached lately. Thread-safe.
+class HolderStats : public RefCounted<HolderStats> {
+public:
+  /// \brief Membership needs seconds to notice a lost node; until then other
+  /// lane owners are preferred.
+  static constexpr Duration AvoidTime = std::chrono::seconds(1);
+
+  void observeFailure(TimePoint Now);
+  void observeSuccess() {
+    this->AvoidUntilMicros.store(0, std::memory_order_relaxed);
+  }
+  bool avoided(TimePoint Now) const;
+
+private:
+  std::atomic<std::int64_t> AvoidUntilMicros{0};
+};
+
+/// \brief Running estimate of one quantile of a stream of latencies, without a
+/// lock and in constant memory.
+///
+/// The estimate moves up by a step with probability 1 - Quantile and down with
+/// probability Quantile at equilibrium; steps are relative to the estimate.
+class LatencyQuantile {
+public:
+  LatencyQuantile(double Quantile, Duration First);
+
+  void observe(Duration Latency);
+  Duration value() const;
+
+private:
+  std::int64_t StepUp;
+  std::int64_t StepDown;
+  std::atomic<std::int64_t> LogValue; ///< log2 of microseconds, 32.32 bits.
+};
+
+/// \brief What this entry process observed of one service. Thread-safe.
+class ServiceStats : public RefCounted<ServiceStats> {
+public:
+  /// \brief 95th percentile of the time until a leaf answered.
+  LatencyQuantile LeafTime{0.95, std::chrono::milliseconds(10)};
+
+  void started() { this->InFlight.fetch_add(1, std::memory_order_relaxed); }
+
+  /// \brief Ends a query. \p HalfTime is the time after which half of its
+  /// leaves had answered, or its age if fewer did.
+  void ended(Duration HalfTime, std::uint32_t InFlightAtStart);
+
+  std::uint32_t inFlight() const {
+    return this->InFlight.load(std::memory_order_relaxed);
+  }
+
+  /// \returns the average time after which half of the leaves had answered.
+  Duration halfTime() const;
+
+  /// \returns the average number of queries in flight when queries started.
+  double usualInFlight() const;
+
+private:
+  std::atomic<std::int64_t> HalfTimeMicros{0};
+  std::atomic<double> UsualInFlight{0};
+  std::atomic<std::uint32_t> InFlight{0};
+};
+
+/// \brief Statistics objects by name. Used when a version of the routing data
+/// is built, not on the path of a request.
+class StatsTable {
+public:
+  Ref<SlotStats> slot(const SlotKey &Key, const VersionName &Version,
+                      const Endpoint &Address);
+  Ref<HolderStats> holder(const NodeName &Node);
+  Ref<ServiceStats> service(const ServiceName &Service);
+
+private:
+  struct SlotIdentity {
+    SlotKey Key;
+    VersionName Version;
+    Endpoint Address;
+    auto operator<=>(const SlotIdentity &) const = default;
+  };
+
+  std::mutex Mutex;
+  std::map<SlotIdentity, Ref<SlotStats>> Slots;
+  std::map<NodeName, Ref<HolderStats>> Holders;
+  std::map<ServiceName, Ref<ServiceStats>> Services;
+};
+
+} // namespace balsamyard
--- /dev/null
+++ b/balsamyard/src/Request/HedgePolicy.cpp
@@ -0,0 +1,17 @@
+#include "balsamyard/src/Request/HedgePolicy.h"
+
+#include <algorithm>
+
+namespace balsamyard {
+
+HedgePolicy HedgePolicy::forService(const ServiceStats &Stats) {
+  return HedgePolicy{std::max(Stats.LeafTime.value(), MinDelay)};
+}
+
+TimePoint HedgePolicy::nextCheck(TimePoint Started, TimePoint Deadline,
+                                 TimePoint Now) const {
+  const Duration Whole = std::max(Deadline - Started, Duration(0));
+  return std::min(Now + std::max(this->Delay, Whole / 16), Deadline);
+}
+
+} // namespace balsamyard
--- /dev/null
+++ b/balsamyard/src/Request/ReplicaChoice.cpp
@@ -0,0 +1,144 @@
+#include "balsamyard/src/Request/ReplicaChoice.h"
+
+#include <algorithm>
+#include <cassert>
+#include <xxhash.h>
+
+namespace balsamyard {
+
+namespace {
+
+/// A farther slot has to be this many times faster than a nearer one to be
+/// preferred, so that load does not spill to another region on small
+/// differences.
+constexpr std::uint64_t distanceFactor(Nearness Distance) {
+  switch (Distance) {
+  case Nearness::OwnDomain:
+    return 1;
+  case Nearness::OwnRegion:
+    return 2;
+  case Nearness::Elsewhere:
+    return 4;
+  }
+  return 4;
+}
+
+/// Cost factor of a slot that no reachable holder leads to.
+constexpr std::uint64_t UnreachableFactor = 1024;
+
+bool hasReachableHolder(const ServiceIndex &Index, const LaneSet &Lanes,
+                        TimePoint Now) {
+  for (std::uint32_t Lane = 0; Lane < Lanes.Count; ++Lane)
+    if (!Index.Holders[Index.LaneHolders[Lanes.First + Lane]].Stats->avoided(
+            Now))
+      return true;
+  return false;
+}
+
+} // namespace
+
+Draws::Draws(std::uint64_t Seed)
+    : Engine(static_cast<std::uint32_t>(XXH3_64bits(&Seed, sizeof(Seed)))) {}
+
+std::uint32_t Draws::below(std::uint32_t Bound) {
+  assert(Bound > 0);
+  // minstd_rand yields 1 to 2^31 - 2; its high bits are the better ones.
+  const std::uint64_t Value = this->Engine() - 1;
+  return static_cast<std::uint32_t>(Value * Bound >> 31);
+}
+
+std::uint64_t score(const ServiceIndex &Index, const SlotRoute &Slot,
+                    TimePoint Now) {
+  const auto Latency = static_cast<std::uint64_t>(
+      std::max<std::int64_t>(Slot.Stats->latency(Now).count(), 1));
+  std::uint64_t Cost =
+      Latency * (Slot.Stats->inFlight() + 1) * distanceFactor(Slot.Distance);
+  if (!hasReachableHolder(Index, Index.LaneSets[Slot.Lanes], Now))
+    Cost *= UnreachableFactor;
+  return Cost;
+}
+
+std::optional<std::uint32_t> chooseSlot(const ServiceIndex &Index,
+                                        const VersionRoutes &Routes,
+                                        const LeafRoute &Leaf,
+                                        const SlotSet &Tried, TimePoint Now,
+                                        Draws &Random) {
+  // Two reservoirs of size one: a random untried slot of the nearest distance,
+  // and a random second one of the same distance or else of the next.
+  std::optional<std::uint32_t> First;
+  std::optional<std::uint32_t> Second;
+  std::uint32_t SameDistance = 0;
+  std::uint32_t NextDistance = 0;
+  for (std::uint32_t Offset = 0; Offset < Leaf.SlotCount; ++Offset) {
+    if (Tried.contains(Offset))
+      continue;
+    const std::uint32_t Position = Leaf.FirstSlot + Offset;
+    if (!First) {
+      First = Position;
+      SameDistance = 1;
+      continue;
+    }
+    const Nearness Distance = Routes.Slots[Position].Distance;
+    if (Distance == Routes.Slots[*First].Distance) {
+      ++SameDistance;
+      // Keeps a uniform sample of two out of those seen so far.
+      if (SameDistance == 2) {
+        Second = Position;
+      } else {
+        const std::uint32_t Drawn = Random.below(SameDistance);
+        if (Drawn == 0)
+          First = Position;
+        else if (Drawn == 1)
+          Second = Position;
+      }
+      continue;
+    }
+    if (SameDistance >= 2 ||
+        (Second && Routes.Slots[*Second].Distance != Distance))
+      break;
+    ++NextDistance;
+    if (Random.below(NextDistance) == 0)
+      Second = Position;
+  }
+  if (!Second)
+    return First;
+  const std::uint64_t FirstScore = score(Index, Routes.Slots[*First], Now);
+  const std::uint64_t SecondScore = score(Index, Routes.Slots[*Second], Now);
+  if (FirstScore == SecondScore &&
+      Routes.Slots[*First].Distance == Routes.Slots[*Second].Distance)
+    return Random.below(2) == 0 ? First : Second;
+  return FirstScore <= SecondScore ? First : Second;
+}
+
+LaneChoice::LaneChoice(const ServiceIndex &Index)
+    : Index(Index), ChosenOf(Index.LaneSets.size(), None),
+      InPlan(Index.Holders.size(), false) {}
+
+std::uint32_t LaneChoice::choose(std::uint32_t Lanes, TimePoint Now,
+                                 Draws &Random) {
+  std::uint32_t &Chosen = this->ChosenOf[Lanes];
+  if (Chosen != None && !this->Index.Holders[Chosen].Stats->avoided(Now))
+    return Chosen;
+  const LaneSet &Set = this->Index.LaneSets[Lanes];
+  assert(Set.Count > 0);
+  std::uint32_t Reachable = 0;
+  std::uint32_t Best = None;
+  for (std::uint32_t Lane = 0; Lane < Set.Count; ++Lane) {
+    const std::uint32_t Holder = this->Index.LaneHolders[Set.First + Lane];
+    if (this->Index.Holders[Holder].Stats->avoided(Now))
+      continue;
+    if (this->InPlan[Holder]) {
+      Best = Holder;
+      break;
+    }
+    ++Reachable;
+    if (Random.below(Reachable) == 0)
+      Best = Holder;
+  }
+  if (Best == None)
+    Best = this->Index.LaneHolders[Set.First + Random.below(Set.Count)];
+  this->InPlan[Best] = true;
+  return Chosen = Best;
+}
+
+} // namespace balsamyard
--- /dev/null
+++ b/balsamyard/src/Request/ReplicaChoice.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include "balsamyard/src/Version/ServiceIndex.h"
+
+#include <optional>
+#include <random>
+#include <vector>
+
+namespace balsamyard {
+
+/// \brief Random draws of one request, all from the seed that was passed in.
+class Draws {
+public:
+  explicit Draws(std::uint64_t Seed);
+
+  /// \returns a number below \p Bound, which is above 0.
+  std::uint32_t below(std::uint32_t Bound);
+
+private:
+  std::minstd_rand Engine;
+};
+
+/// \brief Set of slots of one leaf, by offset from LeafRoute::FirstSlot.
+/// Offsets from 64 on are never in the set.
+class SlotSet {
+public:
+  void insert(std::uint32_t Offset) {
+    if (Offset < 64)
+      this->Bits |= std::uint64_t{1} << Offset;
+  }
+  bool contains(std::uint32_t Offset) const {
+    return Offset < 64 && (this->Bits >> Offset & 1) != 0;
+  }
+
+private:
+  std::uint64_t Bits = 0;
+};
+
+/// \brief Expected cost of sending the next request to a slot: latency x
+/// (requests in flight + 1), weighted by distance and by whether any holder of
+/// the slot could be reached lately.
+std::uint64_t score(const ServiceIndex &Index, const SlotRoute &Slot,
+                    TimePoint Now);
+
+/// \brief Picks the better of two random candidates among the slots of \p Leaf
+/// that are not in \p Tried.
+///
+/// Candidates come from the own failure domain first, then from the own region.
+/// A single nearest slot competes with one slot of the next distance, so that a
+/// straggler can be avoided where a domain has one replica.
+/// \returns a position in Routes.Slots, or nothing if every slot was tried.
+std::optional<std::uint32_t> chooseSlot(const ServiceIndex &Index,
+                                        const VersionRoutes &Routes,
+                                        const LeafRoute &Leaf,
+                                        const SlotSet &Tried, TimePoint Now,
+                                        Draws &Random);
+
+/// \brief Chooses the lane owners of one query so that it needs few messages.
+class LaneChoice {
+public:
+  explicit LaneChoice(const ServiceIndex &Index);
+
+  /// \returns a position in ServiceIndex::Holders: the owner chosen earlier for
+  /// these lanes, else one that is already in the plan, else a random one.
+  /// Owners that failed lately come last.
+  std::uint32_t choose(std::uint32_t Lanes, TimePoint Now, Draws &Random);
+
+private:
+  static constexpr std::uint32_t None = ~std::uint32_t{0};
+
+  const ServiceIndex &Index;
+  std::vector<std::uint32_t> ChosenOf; ///< Holder by lane set.
+  std::vector<bool> InPlan;            ///< By holder.
+};
+
+} // namespace balsamyard
