--- /dev/null
+++ b/balsamyard/src/Connection/SlotLimiter.cpp
@@ -0,0 +1,235 @@
+#include "balsamyard/src/Connection/SlotLimiter.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace balsamyard {
+
+std::uint32_t laneShare(std::uint32_t Limit, const LaneSet &Lanes) {
+  std::uint32_t Sum = 0;
+  for (std::uint32_t Lane : Lanes.Owned)
+    Sum += laneShare(Limit, Lanes.Count, Lane);
+  return Sum;
+}
+
+std::string_view name(const SlotState &State) {
+  static constexpr std::string_view Names[] = {"cold", "warming", "warm",
+                                               "leaving"};
+  return Names[State.index()];
+}
+
+std::string_view name(ColdReason Reason) {
+  switch (Reason) {
+  case ColdReason::LaneTaken:
+    return "lane-taken";
+  case ColdReason::ConnectionsLost:
+    return "connections-lost";
+  case ColdReason::NewIncarnation:
+    return "new-incarnation";
+  case ColdReason::Shedding:
+    return "shedding";
+  case ColdReason::Slow:
+    return "slow";
+  case ColdReason::SaidByTarget:
+    return "said-by-target";
+  case ColdReason::SaidByPeer:
+    return "said-by-peer";
+  }
+  return "unknown";
+}
+
+SlotLimiter::SlotLimiter(SlotShare Share, TimePoint Now)
+    : Share(Share), WindowStart(Now) {}
+
+std::uint32_t SlotLimiter::limit() const {
+  struct Visitor {
+    const SlotShare &Share;
+    std::uint32_t operator()(const ColdSlot &) const {
+      return std::min(this->Share.ColdInFlight, this->Share.Connections);
+    }
+    std::uint32_t operator()(const WarmingSlot &Warming) const {
+      return std::min(Warming.Limit, this->Share.Connections);
+    }
+    std::uint32_t operator()(const WarmSlot &) const {
+      return this->Share.Connections;
+    }
+    std::uint32_t operator()(const LeavingSlot &) const { return 0; }
+  };
+  return std::visit(Visitor{this->Share}, this->State);
+}
+
+std::optional<SlotTicket> SlotLimiter::start() {
+  if (this->InFlight >= this->limit())
+    return std::nullopt;
+  ++this->InFlight;
+  return SlotTicket{this->Epoch, this->Generation};
+}
+
+std::vector<SlotEffect> SlotLimiter::apply(const SlotEvent &Event,
+                                           TimePoint Now) {
+  return std::visit([&](const auto &Body) { return this->on(Body, Now); },
+                    Event);
+}
+
+std::vector<SlotEffect> SlotLimiter::on(const ShareChanged &Event,
+                                        TimePoint Now) {
+  this->Share = Event.Share;
+  if (!Event.LaneTaken || this->isLeaving())
+    return {};
+  return this->becomeCold(ColdReason::LaneTaken, Now);
+}
+
+std::vector<SlotEffect> SlotLimiter::on(const ConnectionsLost &,
+                                        TimePoint Now) {
+  ++this->Generation;
+  // A leaving target closes its connections too, so that is no sign of a
+  // return. A new incarnation on the health page is.
+  if (this->isLeaving())
+    return {};
+  return this->becomeCold(ColdReason::ConnectionsLost, Now);
+}
+
+std::vector<SlotEffect> SlotLimiter::on(const SlotAnswered &Event,
+                                        TimePoint Now) {
+  this->release();
+  if (Event.Ticket.Generation != this->Generation)
+    return {};
+  if (Event.State == TargetState::Leaving)
+    return this->becomeLeaving({true, Now}, true);
+  const bool Restarted = Event.Incarnation != 0 && this->Incarnation != 0 &&
+                         Event.Incarnation != this->Incarnation;
+  if (Event.Incarnation != 0)
+    this->Incarnation = Event.Incarnation;
+  if (Restarted)
+    return this->becomeCold(ColdReason::NewIncarnation, Now);
+  if (this->isLeaving() || Event.Ticket.Epoch != this->Epoch)
+    return {};
+  this->ConsecutiveSheds = 0;
+  if (Event.State == TargetState::Cold) {
+    if (!std::holds_alternative<ColdSlot>(this->State))
+      return this->becomeCold(ColdReason::SaidByTarget, Now);
+    // The window starts over, because the target still says that it is cold.
+    this->WindowStart = Now;
+    this->GoodAnswers = 0;
+    return {};
+  }
+  if (this->learnLatency(Event.Latency))
+    return this->becomeCold(ColdReason::Slow, Now);
+  return this->countGoodAnswer(Now);
+}
+
+std::vector<SlotEffect> SlotLimiter::on(const SlotShed &Event, TimePoint Now) {
+  this->release();
+  if (this->isLeaving() || Event.Ticket.Epoch != this->Epoch)
+    return {};
+  this->GoodAnswers = 0;
+  this->WindowStart = Now;
+  if (++this->ConsecutiveSheds < ShedsUntilCold)
+    return {};
+  return this->becomeCold(ColdReason::Shedding, Now);
+}
+
+std::vector<SlotEffect> SlotLimiter::on(const SlotFailed &, TimePoint) {
+  this->release();
+  return {};
+}
+
+std::vector<SlotEffect> SlotLimiter::on(const HealthSeen &Event,
+                                        TimePoint Now) {
+  if (Event.State == TargetState::Leaving)
+    return this->becomeLeaving({false, Now}, true);
+  const auto *Leaving = std::get_if<LeavingSlot>(&this->State);
+  if (!Leaving)
+    return {};
+  const bool Restarted = Event.Incarnation != 0 && this->Incarnation != 0 &&
+                         Event.Incarnation != this->Incarnation;
+  if (Restarted)
+    this->Incarnation = Event.Incarnation;
+  else if (Leaving->SaidInAnswer || Now - Leaving->LastSaid < LeavingDoubt)
+    return {};
+  return this->becomeCold(ColdReason::NewIncarnation, Now);
+}
+
+std::vector<SlotEffect> SlotLimiter::on(const PeerSaidCold &, TimePoint Now) {
+  if (this->isLeaving())
+    return {};
+  return this->becomeCold(ColdReason::SaidByPeer, Now);
+}
+
+std::vector<SlotEffect> SlotLimiter::on(const PeerSaidLeaving &,
+                                        TimePoint Now) {
+  return this->becomeLeaving({false, Now}, false);
+}
+
+std::vector<SlotEffect> SlotLimiter::becomeCold(ColdReason Reason,
+                                                TimePoint Now) {
+  const bool WasCold = std::holds_alternative<ColdSlot>(this->State);
+  this->State = ColdSlot{};
+  ++this->Epoch;
+  this->WindowStart = Now;
+  this->GoodAnswers = 0;
+  this->ConsecutiveSheds = 0;
+  this->LatencyAnswers = 0;
+  const bool IsNews = Reason == ColdReason::NewIncarnation || !WasCold;
+  const bool Own =
+      Reason != ColdReason::LaneTaken && Reason != ColdReason::SaidByPeer;
+  if (!IsNews)
+    return {};
+  return {BecameCold{Reason, Own}};
+}
+
+std::vector<SlotEffect> SlotLimiter::becomeLeaving(LeavingSlot Next,
+                                                   bool Tell) {
+  if (auto *Former = std::get_if<LeavingSlot>(&this->State)) {
+    Former->SaidInAnswer |= Next.SaidInAnswer;
+    Former->LastSaid = Next.LastSaid;
+    return {};
+  }
+  this->State = Next;
+  ++this->Epoch;
+  return {BecameLeaving{Tell}};
+}
+
+std::vector<SlotEffect> SlotLimiter::countGoodAnswer(TimePoint Now) {
+  if (std::holds_alternative<WarmSlot>(this->State))
+    return {};
+  const std::uint32_t Limit = this->limit();
+  if (++this->GoodAnswers < Limit || Now - this->WindowStart < WarmupWindow)
+    return {};
+  this->WindowStart = Now;
+  this->GoodAnswers = 0;
+  if (Limit >= this->Share.Connections ||
+      2 * Limit >= this->Share.Connections) {
+    this->State = WarmSlot{};
+    return {BecameWarm{}};
+  }
+  this->State = WarmingSlot{2 * Limit};
+  return {};
+}
+
+bool SlotLimiter::learnLatency(Duration Latency) {
+  const double Value = static_cast<double>(Latency.count());
+  if (this->LatencyAnswers == 0) {
+    this->Baseline = Value;
+    this->Recent = Value;
+  }
+  // The recent mean follows within about 8 answers, the baseline within 128.
+  this->Recent += (Value - this->Recent) / 8;
+  this->Baseline += (Value - this->Baseline) / 128;
+  if (this->LatencyAnswers < BaselineAnswers) {
+    ++this->LatencyAnswers;
+    return false;
+  }
+  return this->Recent > SlowFactor * this->Baseline;
+}
+
+bool SlotLimiter::isLeaving() const {
+  return std::holds_alternative<LeavingSlot>(this->State);
+}
+
+void SlotLimiter::release() {
+  assert(this->InFlight > 0 && "each ticket is given back once");
+  --this->InFlight;
+}
+
+} // namespace balsamyard
--- /dev/null
+++ b/balsamyard/src/Connection/SlotLimiter.h
@@ -0,0 +1,213 @@
+#pragma once
+
+#include "balsamyard/src/Core/Names.h"
+#include "balsamyard/src/Core/Time.h"
+
+#include <cstdint>
+#include <optional>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace balsamyard {
+
+/// \brief Numbers of the lanes of one leaf group that a node owns.
+struct LaneSet {
+  std::vector<std::uint32_t> Owned;
+  std::uint32_t Count = 0; ///< Lanes of the group, owned by any node.
+
+  bool operator==(const LaneSet &) const = default;
+};
+
+/// \returns the part of \p Limit that lane \p Lane of \p Count may use. The
+/// parts of all lanes never sum to more than \p Limit.
+constexpr std::uint32_t laneShare(std::uint32_t Limit, std::uint32_t Count,
+                                  std::uint32_t Lane) {
+  if (Count == 0)
+    return 0;
+  const std::uint32_t Even = Limit / Count;
+  return Even == 0 && Lane < Limit ? 1 : Even;
+}
+
+/// \returns the sum of the parts of all lanes in \p Lanes.
+std::uint32_t laneShare(std::uint32_t Limit, const LaneSet &Lanes);
+
+/// \brief What a node may do at one slot.
+struct SlotShare {
+  std::uint32_t Connections = 0;
+  std::uint32_t ColdInFlight = 0;
+
+  bool operator==(const SlotShare &) const = default;
+};
+
+/// \brief What a target says about itself in an answer or on its health page.
+enum class TargetState : std::uint8_t { Warm, Cold, Leaving };
+
+/// \brief The slot bears only its cold share.
+struct ColdSlot {};
+
+/// \brief The limit doubles after each window of good answers.
+struct WarmingSlot {
+  std::uint32_t Limit = 0;
+};
+
+/// \brief The full connection share may be used.
+struct WarmSlot {};
+
+/// \brief The slot takes no new work.
+struct LeavingSlot {
+  bool SaidInAnswer = false; ///< Otherwise by the health page or a peer.
+  TimePoint LastSaid;
+};
+
+using SlotState = std::variant<ColdSlot, WarmingSlot, WarmSlot, LeavingSlot>;
+
+/// \returns "cold", "warming", "warm" or "leaving".
+std::string_view name(const SlotState &State);
+
+/// \brief Why a slot is treated as cold.
+enum class ColdReason : std::uint8_t {
+  LaneTaken,
+  ConnectionsLost,
+  NewIncarnation,
+  Shedding,
+  Slow,
+  SaidByTarget,
+  SaidByPeer,
+};
+
+std::string_view name(ColdReason Reason);
+
+/// \brief Names the period in which a request was started, so that an answer
+/// from before a cold start does not count as evidence after it.
+struct SlotTicket {
+  std::uint64_t Epoch = 0;
+  std::uint64_t Generation = 0; ///< Rises each time all connections were lost.
+};
+
+/// \brief The node's share of the slot changed.
+struct ShareChanged {
+  SlotShare Share;
+  bool LaneTaken = false;
+};
+
+/// \brief The last open connection broke or was closed by the target.
+struct ConnectionsLost {};
+
+/// \brief The target answered a request.
+struct SlotAnswered {
+  SlotTicket Ticket;
+  std::uint64_t Incarnation = 0; ///< 0 if the answer does not say.
+  TargetState State = TargetState::Warm;
+  Duration Latency{};
+};
+
+/// \brief The target refused a request before running it.
+struct SlotShed {
+  SlotTicket Ticket;
+};
+
+/// \brief A request ended without an answer.
+struct SlotFailed {
+  SlotTicket Ticket;
+};
+
+/// \brief The health page was read.
+struct HealthSeen {
+  TargetState State = TargetState::Warm;
+  std::uint64_t Incarnation = 0;
+};
+
+/// \brief Another lane owner saw the slot in cold start.
+struct PeerSaidCold {};
+
+/// \brief Another process saw that the slot is leaving.
+struct PeerSaidLeaving {};
+
+using SlotEvent =
+    std::variant<ShareChanged, ConnectionsLost, SlotAnswered, SlotShed,
+                 SlotFailed, HealthSeen, PeerSaidCold, PeerSaidLeaving>;
+
+/// \brief The slot is treated as cold. Tell is set if the other lane owners
+/// have to know.
+struct BecameCold {
+  ColdReason Reason = ColdReason::LaneTaken;
+  bool Tell = false;
+};
+
+struct BecameWarm {};
+
+/// \brief The slot is leaving. Tell as in BecameCold.
+struct BecameLeaving {
+  bool Tell = false;
+};
+
+using SlotEffect = std::variant<BecameCold, BecameWarm, BecameLeaving>;
+
+/// \brief Decides how many requests a node may have in flight at one slot.
+///
+/// A window is at least 1 s long and has as many good answers as the limit.
+/// The health page alone never raises the limit.
+class SlotLimiter {
+public:
+  static constexpr Duration WarmupWindow = std::chrono::seconds(1);
+  static constexpr std::uint32_t ShedsUntilCold = 3;
+  static constexpr double SlowFactor = 4.0;
+
+  /// A slot that only its health page or a peer called leaving is tried again,
+  /// cold, after its health page has not said so for this long.
+  static constexpr Duration LeavingDoubt = std::chrono::seconds(30);
+
+  /// Answers before the baseline latency counts as known.
+  static constexpr std::uint32_t BaselineAnswers = 64;
+
+  explicit SlotLimiter(SlotShare Share, TimePoint Now);
+
+  /// \brief Takes a place in flight if the limit permits one.
+  std::optional<SlotTicket> start();
+
+  /// \brief Takes in one event. SlotAnswered, SlotShed and SlotFailed give the
+  /// place of their ticket back.
+  std::vector<SlotEffect> apply(const SlotEvent &Event, TimePoint Now);
+
+  /// \returns requests that may be in flight now.
+  std::uint32_t limit() const;
+
+  std::uint32_t inFlight() const { return this->InFlight; }
+  const SlotShare &share() const { return this->Share; }
+  const SlotState &state() const { return this->State; }
+  std::uint64_t incarnation() const { return this->Incarnation; }
+  std::uint64_t generation() const { return this->Generation; }
+
+private:
+  std::vector<SlotEffect> on(const ShareChanged &Event, TimePoint Now);
+  std::vector<SlotEffect> on(const ConnectionsLost &Event, TimePoint Now);
+  std::vector<SlotEffect> on(const SlotAnswered &Event, TimePoint Now);
+  std::vector<SlotEffect> on(const SlotShed &Event, TimePoint Now);
+  std::vector<SlotEffect> on(const SlotFailed &Event, TimePoint Now);
+  std::vector<SlotEffect> on(const HealthSeen &Event, TimePoint Now);
+  std::vector<SlotEffect> on(const PeerSaidCold &Event, TimePoint Now);
+  std::vector<SlotEffect> on(const PeerSaidLeaving &Event, TimePoint Now);
+
+  std::vector<SlotEffect> becomeCold(ColdReason Reason, TimePoint Now);
+  std::vector<SlotEffect> becomeLeaving(LeavingSlot Next, bool Tell);
+  std::vector<SlotEffect> countGoodAnswer(TimePoint Now);
+  bool learnLatency(Duration Latency);
+  bool isLeaving() const;
+  void release();
+
+  SlotShare Share;
+  SlotState State = ColdSlot{};
+  std::uint32_t InFlight = 0;
+  std::uint64_t Epoch = 0;
+  std::uint64_t Generation = 0;
+  std::uint64_t Incarnation = 0;
+  TimePoint WindowStart;
+  std::uint32_t GoodAnswers = 0;
+  std::uint32_t ConsecutiveSheds = 0;
+  std::uint32_t LatencyAnswers = 0;
+  double Baseline = 0; ///< Microseconds.
+  double Recent = 0;   ///< Microseconds.
+};
+
+} // namespace balsamyard
