--- a/balsamyard/src/Version/Catalog.h
+++ b/balsamyard/src/Version/Catalog.h
@@ -57,6 +57,19 @@
 };
 
 /// \brief Reads the JSON value of the platform object `shared/catalog/SERVICE`.
+///
+/// \code
+/// {"service":"permits","routes":["find"],"slots":[
+/// {"leaf":0,"slot":0,"domain":"east","version":"v1",
+///  "address":"127.0.0.1:8000","connection_limit":30,"cold_limit":4}
+/// ],"snapshots":[
+/// {"id":7,"complete":true,"shards":[
+/// {"shard":0,"leaf":0,"weight":10}
+/// ]}]}
+/// \endcode
+/// `leaving` (false) and `weight` (1) may be left out; unknown members are
+/// faults.
+/// \returns PlatformMalformed with the place and what was expected there.
 Expected<ServiceCatalog> parseCatalog(std::string_view Json);
 
 /// \returns the JSON value of \p Catalog. \sa parseCatalog
--- a/balsamyard/src/Version/Rules.h
+++ b/balsamyard/src/Version/Rules.h
@@ -4,6 +4,7 @@
 #include "balsamyard/src/Core/Names.h"
 #include "balsamyard/src/Core/Time.h"
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -87,7 +88,19 @@
                           const RouteName &Route) const;
 };
 
-/// \brief Checks a whole rules file.
+/// \returns the time "YYYY-MM-DDThh:mm:ssZ", or nothing if it is not one.
+std::optional<WallTime> parseWallTime(std::string_view Text);
+
+/// \brief Checks a whole rules file: one rule per line with a comment that says
+/// who asked for it.
+///
+/// \code
+/// search service=portal-* route=* deadline=150ms coverage=0.95  # Ada Marsh
+/// write service=permits deadline=2s repeat=no                   # permits desk
+/// limit service=portal-* share=0.5                              # budget team
+/// drain domain=east                                             # Ada Marsh
+/// move service=depot route=* to=v2 by=2026-12-05T06:00:00Z      # depot desk
+/// \endcode
 /// \returns the rules, or every fault that was found; nothing in part.
 tl::expected<Rules, std::vector<RuleFault>> parseRules(std::string_view Text);
 
--- a/balsamyard/src/Version/ShareTable.h
+++ b/balsamyard/src/Version/ShareTable.h
@@ -62,6 +62,19 @@
 /// \returns the number of the write gate that decides about \p Request.
 std::size_t gateOf(const RequestId &Request);
 
+/// \brief Reads and writes the JSON values of the platform objects. Version is
+/// the version of the object and not part of the value.
+///
+/// \code
+/// {"domain":"east","lanes":[
+/// {"service":"permits","group":0,"lane":0,"node":"east-1"}
+/// ]}
+/// {"gates":[
+/// {"gate":0,"node":"east-1","since":1790000000000},
+/// ...
+/// ]}
+/// \endcode
+/// \returns PlatformMalformed with the place and what was expected there.
 Expected<ShareTable> parseShareTable(std::string_view Json);
 std::string toJson(const ShareTable &Table);
 Expected<GateTable> parseGateTable(std::string_view Json);
--- /dev/null
+++ b/balsamyard/src/Version/internal/NameText.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "balsamyard/src/Core/Error.h"
+#include "balsamyard/src/Core/Names.h"
+
+#include <string_view>
+
+namespace balsamyard::internal {
+
+/// \brief Longest name of a node, service, route, version or failure domain.
+inline constexpr std::size_t MaxNameBytes = 128;
+
+/// \returns whether \p Text is a name: letters, digits, '.', '_' and '-'.
+bool isName(std::string_view Text);
+
+/// \returns "IP:PORT" taken apart. An IPv6 address stands in brackets.
+Expected<Endpoint> parseEndpoint(std::string_view Text);
+
+} // namespace balsamyard::internal
