--- a/balsamyard/src/Process/PlatformClient.h
+++ b/balsamyard/src/Process/PlatformClient.h
@@ -11,6 +11,9 @@
 
 namespace balsamyard {
 
+/// \brief Largest value of a platform object, and largest answer that is read.
+inline constexpr std::size_t MaxObjectBytes = 1 << 20;
+
 /// \brief Value of a platform object and its version.
 struct PlatformObject {
   std::uint64_t Version = 0;
@@ -41,7 +44,8 @@
 /// \brief Blocking client of the platform's object API. Thread-safe.
 ///
 /// Errors: PlatformUnavailable (for updates: it may have taken effect),
-/// PlatformConflict, PlatformMalformed, ObjectAbsent.
+/// PlatformConflict, PlatformMalformed, ObjectAbsent, BodyTooLarge. No call is
+/// repeated on its own.
 class PlatformClient {
 public:
   PlatformClient(Endpoint Platform, Duration Timeout);
@@ -73,7 +77,8 @@
 
   Expected<std::vector<PlatformVm>> vms();
 
-  /// \brief Ends all waiting calls; later calls fail at once.
+  /// \brief Ends all waiting calls and returns once they have ended; later
+  /// calls fail at once.
   void stop();
 
 private:
