--- /dev/null
+++ b/balsamyard/src/Process/Log.cpp
@@ -0,0 +1,141 @@
+#include "balsamyard/src/Process/Log.h"
+
+#include <array>
+#include <boost/core/null_deleter.hpp>
+#include <boost/log/core.hpp>
+#include <boost/log/expressions.hpp>
+#include <boost/log/sinks/sync_frontend.hpp>
+#include <boost/log/sinks/text_ostream_backend.hpp>
+#include <boost/log/sources/logger.hpp>
+#include <boost/log/sources/record_ostream.hpp>
+#include <boost/make_shared.hpp>
+#include <cstdio>
+#include <ctime>
+#include <fstream>
+#include <iostream>
+#include <mutex>
+#include <nlohmann/json.hpp>
+
+namespace balsamyard {
+
+namespace {
+
+using Sink = boost::log::sinks::synchronous_sink<
+    boost::log::sinks::text_ostream_backend>;
+
+/// What openLog() set. Static because a log line may be written before main()
+/// has built any object and after it has destroyed all.
+struct LogState {
+  std::mutex Mutex;
+  std::string Process; ///< Members that follow "event", as JSON text.
+  boost::shared_ptr<Sink> Output;
+};
+
+LogState &state() {
+  static LogState Instance;
+  return Instance;
+}
+
+std::string jsonText(std::string_view Text) {
+  // Replaces invalid UTF-8, which would otherwise throw: caller input may be
+  // part of a log line.
+  return nlohmann::json(Text).dump(-1, ' ', false,
+                                   nlohmann::json::error_handler_t::replace);
+}
+
+std::string_view levelName(LogLevel Level) {
+  switch (Level) {
+  case LogLevel::Info:
+    return "info";
+  case LogLevel::Warning:
+    return "warning";
+  case LogLevel::Error:
+    return "error";
+  }
+  return "error";
+}
+
+/// RFC 3339 in UTC with microseconds.
+std::string timeText(std::chrono::system_clock::time_point Now) {
+  auto Micros = std::chrono::floor<std::chrono::microseconds>(Now);
+  auto Seconds = std::chrono::floor<std::chrono::seconds>(Micros);
+  std::time_t Count = Seconds.time_since_epoch().count();
+  std::tm Parts{};
+  gmtime_r(&Count, &Parts);
+  std::array<char, 40> Buffer{};
+  std::size_t Length =
+      std::strftime(Buffer.data(), Buffer.size(), "%Y-%m-%dT%H:%M:%S", &Parts);
+  std::snprintf(Buffer.data() + Length, Buffer.size() - Length, ".%06dZ",
+                static_cast<int>((Micros - Seconds).count()));
+  return Buffer.data();
+}
+
+struct ValueText {
+  std::string operator()(const std::string &Value) const {
+    return jsonText(Value);
+  }
+  std::string operator()(std::int64_t Value) const {
+    return std::to_string(Value);
+  }
+  std::string operator()(double Value) const {
+    return nlohmann::json(Value).dump();
+  }
+  std::string operator()(bool Value) const { return Value ? "true" : "false"; }
+  std::string operator()(Code Value) const {
+    return std::to_string(static_cast<int>(Value));
+  }
+  std::string operator()(Duration Value) const {
+    return std::to_string(Value.count());
+  }
+};
+
+} // namespace
+
+void openLog(std::string_view Process, const NodeName &Node,
+             const DomainName &Domain, const std::string &File) {
+  auto Backend = boost::make_shared<boost::log::sinks::text_ostream_backend>();
+  if (File.empty())
+    Backend->add_stream(
+        boost::shared_ptr<std::ostream>(&std::clog, boost::null_deleter()));
+  else
+    Backend->add_stream(boost::make_shared<std::ofstream>(File, std::ios::app));
+  Backend->auto_flush(true);
+  auto Output = boost::make_shared<Sink>(Backend);
+  Output->set_formatter(boost::log::expressions::stream
+                        << boost::log::expressions::smessage);
+
+  LogState &State = state();
+  std::lock_guard<std::mutex> Lock(State.Mutex);
+  State.Process = R"(,"process":)" + jsonText(Process) + R"(,"node":)" +
+                  jsonText(Node.Text) + R"(,"domain":)" + jsonText(Domain.Text);
+  if (State.Output)
+    boost::log::core::get()->remove_sink(State.Output);
+  State.Output = Output;
+  boost::log::core::get()->add_sink(Output);
+}
+
+void logEvent(LogLevel Level, std::string_view Event,
+              std::initializer_list<LogField> Fields) {
+  std::string Line = R"({"time":")" +
+                     timeText(std::chrono::system_clock::now()) +
+                     R"(","level":")" + std::string(levelName(Level)) +
+                     R"(","event":)" + jsonText(Event);
+  {
+    LogState &State = state();
+    std::lock_guard<std::mutex> Lock(State.Mutex);
+    if (!State.Output)
+      return;
+    Line += State.Process;
+  }
+  for (const LogField &Field : Fields) {
+    Line += ",";
+    Line += jsonText(Field.Key);
+    Line += ":";
+    Line += std::visit(ValueText{}, Field.Value);
+  }
+  Line += "}";
+  static boost::log::sources::logger_mt Logger;
+  BOOST_LOG(Logger) << Line;
+}
+
+} // namespace balsamyard
--- a/balsamyard/src/Process/Log.h
+++ b/balsamyard/src/Process/Log.h
@@ -21,11 +21,14 @@
 enum class LogLevel { Info, Warning, Error };
 
 /// \brief Names the process in every line and opens the sink. An empty \p File
-/// is standard error.
+/// is standard error. Lines written before the first call are dropped.
 void openLog(std::string_view Process, const NodeName &Node,
              const DomainName &Domain, const std::string &File);
 
-/// \brief Writes one JSON line. \p Event is a stable kebab-case name.
+/// \brief Writes one JSON line and flushes it. \p Event is a stable kebab-case
+/// name. Durations are written in microseconds, codes as their number.
+/// Thread-safe; all threads share the lock of the sink, so a request logs at
+/// most once, when it ends.
 ///
 /// \code
 /// logEvent(LogLevel::Info, "config-applied", {{"config", std::int64_t(7)}});
--- /dev/null
+++ b/balsamyard/src/Process/Settings.cpp
@@ -0,0 +1,284 @@
+#include "balsamyard/src/Process/Settings.h"
+
+#include <algorithm>
+#include <arpa/inet.h>
+#include <array>
+#include <charconv>
+#include <fstream>
+#include <functional>
+#include <iterator>
+#include <optional>
+#include <sstream>
+#include <toml++/toml.h>
+
+namespace balsamyard {
+
+namespace {
+
+/// Names travel in every gossip message, whose size is bounded.
+constexpr std::size_t MaxNameBytes = 48;
+
+/// Reads one TOML document and collects every fault.
+class Reader {
+public:
+  explicit Reader(const toml::table &Root) : Root(Root) {}
+
+  std::vector<SettingsFault> Faults;
+
+  /// A section and the keys that it may hold.
+  struct Section {
+    std::string_view Name;
+    std::vector<std::string_view> Keys;
+  };
+
+  void rejectUnknown(const std::vector<Section> &Known) {
+    for (const auto &[Key, Node] : this->Root) {
+      auto Found =
+          std::find_if(Known.begin(), Known.end(), [&](const Section &Item) {
+            return Item.Name == Key.str();
+          });
+      if (Found == Known.end()) {
+        this->add(Code::SettingsUnknownKey, Key.source(),
+                  "unknown key '" + std::string(Key.str()) +
+                      "', expected one of" + list(Known));
+        continue;
+      }
+      const toml::table *Table = Node.as_table();
+      if (!Table) {
+        this->add(Code::SettingsBadValue, Node.source(),
+                  "'" + std::string(Key.str()) +
+                      "' has a wrong type, expected a table");
+        continue;
+      }
+      for (const auto &[Inner, Value] : *Table)
+        if (std::find(Found->Keys.begin(), Found->Keys.end(), Inner.str()) ==
+            Found->Keys.end()) {
+          std::string Names;
+          for (std::string_view Name : Found->Keys)
+            Names += " " + std::string(Name);
+          this->add(Code::SettingsUnknownKey, Inner.source(),
+                    "unknown key '" + path(Found->Name, Inner.str()) +
+                        "', expected one of" + Names);
+        }
+    }
+  }
+
+  /// Reads a name of letters, digits, '.', '_' and '-'.
+  template <typename NameType>
+  void name(std::string_view Table, std::string_view Key, NameType &Into) {
+    const toml::node *Node = this->required(Table, Key, "a name");
+    if (!Node)
+      return;
+    std::optional<std::string> Text = Node->value_exact<std::string>();
+    auto Allowed = [](char Letter) {
+      return (Letter >= 'a' && Letter <= 'z') ||
+             (Letter >= 'A' && Letter <= 'Z') ||
+             (Letter >= '0' && Letter <= '9') || Letter == '.' ||
+             Letter == '_' || Letter == '-';
+    };
+    if (!Text || Text->empty() || Text->size() > MaxNameBytes ||
+        !std::all_of(Text->begin(), Text->end(), Allowed))
+      return this->add(Code::SettingsBadValue, Node->source(),
+                       "'" + path(Table, Key) +
+                           "' expected a text of 1 to 48 letters, digits, "
+                           "'.', '_' or '-'");
+    Into.Text = *Text;
+  }
+
+  void endpoint(std::string_view Table, std::string_view Key, Endpoint &Into) {
+    if (const toml::node *Node =
+            this->required(Table, Key, "an IP address with port"))
+      this->endpointValue(path(Table, Key), *Node, Into);
+  }
+
+  void endpoints(std::string_view Table, std::string_view Key,
+                 std::vector<Endpoint> &Into) {
+    const toml::node *Node = this->optional(Table, Key);
+    if (!Node)
+      return;
+    const toml::array *Items = Node->as_array();
+    if (!Items)
+      return this->add(Code::SettingsBadValue, Node->source(),
+                       "'" + path(Table, Key) +
+                           "' expected an array of \"IP:PORT\"");
+    for (const toml::node &Item : *Items) {
+      Endpoint Value;
+      if (this->endpointValue(path(Table, Key), Item, Value))
+        Into.push_back(Value);
+    }
+  }
+
+  void number(std::string_view Table, std::string_view Key, std::uint32_t Least,
+              std::uint32_t Most, std::uint32_t &Into) {
+    const toml::node *Node = this->optional(Table, Key);
+    if (!Node)
+      return;
+    std::optional<std::int64_t> Value = Node->value_exact<std::int64_t>();
+    if (!Value || *Value < Least || *Value > Most)
+      return this->add(Code::SettingsBadValue, Node->source(),
+                       "'" + path(Table, Key) + "' expected a whole number " +
+                           std::to_string(Least) + " to " +
+                           std::to_string(Most));
+    Into = static_cast<std::uint32_t>(*Value);
+  }
+
+  void text(std::string_view Table, std::string_view Key, std::string &Into) {
+    const toml::node *Node = this->optional(Table, Key);
+    if (!Node)
+      return;
+    std::optional<std::string> Value = Node->value_exact<std::string>();
+    if (!Value)
+      return this->add(Code::SettingsBadValue, Node->source(),
+                       "'" + path(Table, Key) + "' expected a text");
+    Into = *Value;
+  }
+
+private:
+  const toml::table &Root;
+
+  static std::string path(std::string_view Table, std::string_view Key) {
+    return std::string(Table) + "." + std::string(Key);
+  }
+
+  static std::string list(const std::vector<Section> &Known) {
+    std::string Names;
+    for (const Section &Item : Known)
+      Names += " [" + std::string(Item.Name) + "]";
+    return Names;
+  }
+
+  void add(Code Value, const toml::source_region &At, std::string Detail) {
+    this->Faults.push_back({Value, static_cast<std::uint32_t>(At.begin.line),
+                            static_cast<std::uint32_t>(At.begin.column),
+                            std::move(Detail)});
+  }
+
+  const toml::node *optional(std::string_view Table, std::string_view Key) {
+    const toml::node *Section = this->Root.get(Table);
+    const toml::table *Inner = Section ? Section->as_table() : nullptr;
+    return Inner ? Inner->get(Key) : nullptr;
+  }
+
+  const toml::node *required(std::string_view Table, std::string_view Key,
+                             std::string_view Kind) {
+    if (const toml::node *Node = this->optional(Table, Key))
+      return Node;
+    const toml::node *Section = this->Root.get(Table);
+    this->add(Code::SettingsMissingKey,
+              Section ? Section->source() : toml::source_region{},
+              "missing key '" + path(Table, Key) + "', expected " +
+                  std::string(Kind));
+    return nullptr;
+  }
+
+  bool endpointValue(const std::string &Path, const toml::node &Node,
+                     Endpoint &Into) {
+    std::optional<std::string> Text = Node.value_exact<std::string>();
+    Expected<Endpoint> Value =
+        Text ? parseEndpoint(*Text)
+             : fail(Code::SettingsBadValue, "expected a text \"IP:PORT\"");
+    if (!Value) {
+      this->add(Code::SettingsBadValue, Node.source(),
+                "'" + Path + "' " + Value.error().Detail);
+      return false;
+    }
+    Into = *Value;
+    return true;
+  }
+};
+
+} // namespace
+
+bool isIpAddress(std::string_view Text) {
+  std::string Copy(Text);
+  std::array<unsigned char, sizeof(in6_addr)> Bytes{};
+  return inet_pton(AF_INET, Copy.c_str(), Bytes.data()) == 1 ||
+         inet_pton(AF_INET6, Copy.c_str(), Bytes.data()) == 1;
+}
+
+Expected<Endpoint> parseEndpoint(std::string_view Text) {
+  auto Bad = [] {
+    return fail(Code::SettingsBadValue,
+                "expected \"IPV4:PORT\" or \"[IPV6]:PORT\" with an IP number "
+                "and a port 0 to 65535");
+  };
+  std::size_t Colon = Text.rfind(':');
+  if (Colon == std::string_view::npos)
+    return Bad();
+  std::string_view Address = Text.substr(0, Colon);
+  std::string_view Digits = Text.substr(Colon + 1);
+  bool Bracketed =
+      Address.size() > 2 && Address.front() == '[' && Address.back() == ']';
+  if (Bracketed)
+    Address = Address.substr(1, Address.size() - 2);
+  bool HasColon = Address.find(':') != std::string_view::npos;
+  if (HasColon != Bracketed || !isIpAddress(Address))
+    return Bad();
+  std::uint16_t Port = 0;
+  auto [End, Fault] =
+      std::from_chars(Digits.data(), Digits.data() + Digits.size(), Port);
+  if (Digits.empty() || Fault != std::errc() ||
+      End != Digits.data() + Digits.size())
+    return Bad();
+  return Endpoint{std::string(Address), Port};
+}
+
+tl::expected<Settings, std::vector<SettingsFault>>
+parseSettings(std::string_view Text) {
+  toml::table Root;
+  try {
+    Root = toml::parse(Text);
+  } catch (const toml::parse_error &Fault) {
+    return tl::unexpected(std::vector<SettingsFault>{
+        {Code::SettingsSyntax,
+         static_cast<std::uint32_t>(Fault.source().begin.line),
+         static_cast<std::uint32_t>(Fault.source().begin.column),
+         std::string(Fault.description())}});
+  }
+
+  Settings Result;
+  Reader Input(Root);
+  Input.rejectUnknown(
+      {{"node", {"name", "domain", "region"}},
+       {"listen", {"http", "peer", "gossip"}},
+       {"platform", {"address"}},
+       {"peers", {"seeds"}},
+       {"limits",
+        {"caller_threads", "worker_threads", "in_flight", "body_bytes"}},
+       {"log", {"file"}}});
+  Input.name("node", "name", Result.Node);
+  Input.name("node", "domain", Result.Domain);
+  Input.name("node", "region", Result.Region);
+  Input.endpoint("listen", "http", Result.Http);
+  Input.endpoint("listen", "peer", Result.Peer);
+  Input.endpoint("listen", "gossip", Result.Gossip);
+  Input.endpoint("platform", "address", Result.Platform);
+  Input.endpoints("peers", "seeds", Result.Seeds);
+  Input.number("limits", "caller_threads", 1, 4096, Result.CallerThreads);
+  Input.number("limits", "worker_threads", 1, 4096, Result.WorkerThreads);
+  Input.number("limits", "in_flight", 1, 1 << 20, Result.InFlight);
+  Input.number("limits", "body_bytes", 1024, 1 << 26, Result.BodyBytes);
+  Input.text("log", "file", Result.LogFile);
+  if (!Input.Faults.empty()) {
+    std::stable_sort(Input.Faults.begin(), Input.Faults.end(),
+                     [](const SettingsFault &A, const SettingsFault &B) {
+                       return std::pair(A.Line, A.Column) <
+                              std::pair(B.Line, B.Column);
+                     });
+    return tl::unexpected(std::move(Input.Faults));
+  }
+  return Result;
+}
+
+tl::expected<Settings, std::vector<SettingsFault>>
+readSettings(const std::string &Path) {
+  std::ifstream File(Path, std::ios::binary);
+  if (!File)
+    return tl::unexpected(std::vector<SettingsFault>{
+        {Code::SettingsUnreadable, 0, 0, "cannot read '" + Path + "'"}});
+  std::string Text((std::istreambuf_iterator<char>(File)),
+                   std::istreambuf_iterator<char>());
+  return parseSettings(Text);
+}
+
+} // namespace balsamyard
--- a/balsamyard/src/Process/Settings.h
+++ b/balsamyard/src/Process/Settings.h
@@ -37,7 +37,15 @@
   std::string Detail;
 };
 
-/// \returns the settings, or every fault that was found.
+/// \returns the endpoint in \p Text, "IPV4:PORT" or "[IPV6]:PORT" with a port
+/// from 0 to 65535, or SettingsBadValue.
+Expected<Endpoint> parseEndpoint(std::string_view Text);
+
+/// \returns whether \p Text is a numeric IPv4 or IPv6 address.
+bool isIpAddress(std::string_view Text);
+
+/// \returns the settings, or every fault that was found. A syntax error hides
+/// the faults after it.
 tl::expected<Settings, std::vector<SettingsFault>>
 parseSettings(std::string_view Text);
 
