--- a/balsamyard/src/Process/ControlAgent.h
+++ b/balsamyard/src/Process/ControlAgent.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "balsamyard/src/Core/Messages.h"
+#include "balsamyard/src/Process/Membership.h"
 #include "balsamyard/src/Process/PlatformClient.h"
 #include "balsamyard/src/Process/Settings.h"
 #include "balsamyard/src/Version/RcuCell.h"
@@ -14,9 +15,6 @@
 
 class PeerClient;
 
-/// \brief Role of a process on its node.
-enum class ProcessRole { Entry, Holder };
-
 /// \brief Runs membership and configuration of a process and publishes the
 /// routing view.
 class ControlAgent {
--- /dev/null
+++ b/balsamyard/src/Process/Membership.cpp
@@ -0,0 +1,553 @@
+#include "balsamyard/src/Process/Membership.h"
+
+#include <algorithm>
+#include <boost/random/taus88.hpp>
+#include <boost/random/uniform_int_distribution.hpp>
+#include <cmath>
+
+namespace balsamyard {
+
+namespace {
+
+template <typename... Handlers> struct Overload : Handlers... {
+  using Handlers::operator()...;
+};
+template <typename... Handlers> Overload(Handlers...) -> Overload<Handlers...>;
+
+bool isPresent(MemberState State) {
+  return State == MemberState::Alive || State == MemberState::Suspect;
+}
+
+/// \returns an upper bound of the encoded size: lengths of texts plus at most
+/// 3 bytes of prefix for each of 6 texts, 9 for the incarnation, 10 for ports,
+/// role, state and the array.
+std::size_t encodedBound(const MemberUpdate &Update) {
+  const MemberInfo &Who = Update.Who;
+  return Who.Key.Node.Text.size() + Who.Domain.Text.size() +
+         Who.Region.Text.size() + Who.Gossip.Address.size() +
+         Who.Peer.Address.size() + 40;
+}
+
+} // namespace
+
+std::string toText(const ProcessKey &Key) {
+  return Key.Node.Text +
+         (Key.Role == ProcessRole::Entry ? "/entry" : "/holder");
+}
+
+std::string_view toText(MemberState State) {
+  switch (State) {
+  case MemberState::Alive:
+    return "alive";
+  case MemberState::Suspect:
+    return "suspect";
+  case MemberState::Left:
+    return "left";
+  case MemberState::Dead:
+    return "dead";
+  }
+  return "dead";
+}
+
+/// Expands the draw of one event into as many numbers as it needs.
+class Membership::Draws {
+public:
+  explicit Draws(std::uint64_t Draw)
+      : Engine(static_cast<std::uint32_t>(Draw ^ (Draw >> 32))) {}
+
+  /// \returns a number from 0 to \p Bound - 1.
+  std::size_t below(std::size_t Bound) {
+    return boost::random::uniform_int_distribution<std::size_t>(0, Bound - 1)(
+        this->Engine);
+  }
+
+private:
+  boost::random::taus88 Engine;
+};
+
+Membership::Membership(MemberInfo Self, std::uint64_t Incarnation,
+                       std::vector<Endpoint> Seeds, MembershipTimes Times,
+                       MembershipLimits Limits)
+    : Self{std::move(Self), Incarnation, MemberState::Alive},
+      Seeds(std::move(Seeds)), Times(Times), Limits(Limits) {
+  std::erase(this->Seeds, this->Self.Who.Gossip);
+}
+
+std::vector<MembershipEffect> Membership::handle(const MembershipEvent &Event,
+                                                 TimePoint Now,
+                                                 std::uint64_t Draw) {
+  Effects Out;
+  Draws Random(Draw);
+  std::visit(
+      Overload{[&](const MembershipTick &) { this->onTick(Now, Random, Out); },
+               [&](const GossipReceived &Received) {
+                 this->onReceived(Received, Now, Random, Out);
+               },
+               [&](const ConfigAdvanced &Advanced) {
+                 this->Config = std::max(this->Config, Advanced.Version);
+               },
+               [&](const AnnounceConfig &News) {
+                 for (const Member *To :
+                      this->randomMembers(News.Count, nullptr, Random))
+                   this->send(To->Info.Gossip, Announce{}, &To->Info.Key, Out);
+               },
+               [&](const LeaveRequested &) {
+                 this->Self.State = MemberState::Left;
+                 this->Rumours[this->Self.Who.Key] = {};
+                 for (const Member *To : this->randomMembers(
+                          this->Limits.Helpers, nullptr, Random))
+                   this->send(To->Info.Gossip, Announce{}, &To->Info.Key, Out);
+               }},
+      Event);
+  return Out;
+}
+
+void Membership::onTick(TimePoint Now, Draws &Random, Effects &Out) {
+  bool Late = this->LastTick != TimePoint{} &&
+              Now - this->LastTick > this->Times.Tick + this->Times.Lateness;
+  this->LastTick = Now;
+  if (Late) {
+    // The own process was slow or paused; answers may be waiting unread.
+    Duration Missed = this->Times.Period;
+    this->Health = std::min(this->Health + 1, this->Limits.MaxHealth);
+    this->Running.reset();
+    for (auto &[Key, Deadline] : this->Suspicions)
+      Deadline = std::max(Deadline, Now + Missed);
+  }
+  this->expire(Now, Out);
+
+  if (this->Running && !this->Running->Indirect &&
+      Now - this->Running->SentAt >=
+          this->Times.ProbeTimeout * (this->Health + 1))
+    this->askHelpers(Random, Out);
+
+  if (Now >= this->NextProbe) {
+    this->finishProbe(Now, Out);
+    this->startProbe(Now, Random, Out);
+    this->NextProbe = Now + this->Times.Period * (this->Health + 1);
+  }
+  if (Now >= this->NextSync)
+    this->askForPage(Now, Random, Out);
+  this->probeDeparted(Now, Random, Out);
+}
+
+void Membership::finishProbe(TimePoint Now, Effects &Out) {
+  if (!this->Running)
+    return;
+  Probe Failed = *this->Running;
+  this->Running.reset();
+  // Helpers that stay silent as well hint at a fault of the own process or
+  // its network, so the target is not accused until that has lasted.
+  bool OwnFault = Failed.Helpers > 0 && !Failed.HelperAnswered &&
+                  this->Health < this->Limits.MaxHealth;
+  if (!Failed.HelperAnswered)
+    this->Health = std::min(this->Health + 1, this->Limits.MaxHealth);
+  auto Found = this->Members.find(Failed.Target);
+  if (OwnFault || Found == this->Members.end() ||
+      Found->second.State != MemberState::Alive)
+    return;
+  this->setState(Found->second, MemberState::Suspect, Now, Out);
+}
+
+void Membership::startProbe(TimePoint Now, Draws &Random, Effects &Out) {
+  for (std::size_t Tried = 0; Tried <= this->ProbeOrder.size(); ++Tried) {
+    if (this->ProbeNext >= this->ProbeOrder.size()) {
+      this->ProbeNext = 0;
+      std::erase_if(this->ProbeOrder, [&](const ProcessKey &Key) {
+        return !this->Members.contains(Key);
+      });
+      for (std::size_t Left = this->ProbeOrder.size(); Left > 1; --Left)
+        std::swap(this->ProbeOrder[Left - 1],
+                  this->ProbeOrder[Random.below(Left)]);
+      if (this->ProbeOrder.empty())
+        return;
+    }
+    const ProcessKey &Key = this->ProbeOrder[this->ProbeNext++];
+    auto Found = this->Members.find(Key);
+    if (Found == this->Members.end() || !isPresent(Found->second.State))
+      continue;
+    this->Running = Probe{Key, this->NextSequence++, Now};
+    this->send(Found->second.Info.Gossip, Ping{this->Running->Sequence}, &Key,
+               Out);
+    return;
+  }
+}
+
+void Membership::askHelpers(Draws &Random, Effects &Out) {
+  Probe &Current = *this->Running;
+  Current.Indirect = true;
+  for (const Member *Helper :
+       this->randomMembers(this->Limits.Helpers, &Current.Target, Random)) {
+    ++Current.Helpers;
+    this->send(Helper->Info.Gossip,
+               PingRequest{Current.Sequence, Current.Target}, &Helper->Info.Key,
+               Out);
+  }
+}
+
+void Membership::probeDeparted(TimePoint Now, Draws &Random, Effects &Out) {
+  // Members of the other side of a partition count as dead; they are probed
+  // now and then, so that the two sides join again.
+  if (Now >= this->NextDeadProbe) {
+    this->NextDeadProbe = Now + this->Times.DeadProbePeriod;
+    if (!this->Departed.empty()) {
+      auto Chosen = this->Departed.begin();
+      std::advance(Chosen, static_cast<std::ptrdiff_t>(
+                               Random.below(this->Departed.size())));
+      const Member &Who = this->Members.at(*Chosen);
+      if (Who.State == MemberState::Dead)
+        this->send(Who.Info.Gossip, Ping{this->NextSequence++}, &Who.Info.Key,
+                   Out);
+    }
+  }
+  // Two parts that have forgotten each other only meet through the seeds.
+  if (Now >= this->NextSeedProbe && !this->Seeds.empty()) {
+    bool Alone = this->Alive == 0;
+    this->NextSeedProbe =
+        Now + (Alone ? this->Times.Period : this->Times.SeedProbePeriod);
+    if (this->SyncDone || !Alone)
+      this->send(this->Seeds[Random.below(this->Seeds.size())],
+                 Ping{this->NextSequence++}, nullptr, Out);
+  }
+}
+
+void Membership::askForPage(TimePoint Now, Draws &Random, Effects &Out) {
+  // A joining process asks again after each period without an answer.
+  this->NextSync =
+      Now + (this->SyncDone ? this->Times.SyncPeriod : this->Times.Period);
+  std::vector<const Member *> Known = this->randomMembers(1, nullptr, Random);
+  bool UseSeed = !this->Seeds.empty() &&
+                 (Known.empty() || (!this->SyncDone && Random.below(2) == 0));
+  if (!UseSeed && Known.empty())
+    return;
+  this->SyncSequence = this->NextSequence++;
+  Ping Question{this->SyncSequence, true, this->SyncAfter};
+  if (UseSeed)
+    this->send(this->Seeds[Random.below(this->Seeds.size())], Question, nullptr,
+               Out);
+  else
+    this->send(Known[0]->Info.Gossip, Question, &Known[0]->Info.Key, Out);
+}
+
+void Membership::expire(TimePoint Now, Effects &Out) {
+  std::vector<ProcessKey> Due;
+  for (const auto &[Key, Deadline] : this->Suspicions)
+    if (Now >= Deadline)
+      Due.push_back(Key);
+  for (const ProcessKey &Key : Due)
+    this->setState(this->Members.at(Key), MemberState::Dead, Now, Out);
+
+  for (auto Item = this->Relays.begin(); Item != this->Relays.end();) {
+    if (Now < Item->second.Deadline) {
+      ++Item;
+      continue;
+    }
+    this->send(Item->second.For, Ack{Item->second.Sequence, false}, nullptr,
+               Out);
+    Item = this->Relays.erase(Item);
+  }
+
+  for (auto Item = this->Departed.begin(); Item != this->Departed.end();) {
+    Member &Who = this->Members.at(*Item);
+    if (Who.State == MemberState::Left &&
+        Now - Who.Since >= this->Times.LeaveTime) {
+      // Every member draws this conclusion by itself, so it is not passed on.
+      Who.State = MemberState::Dead;
+      Out.emplace_back(MemberChanged{Who});
+    }
+    if (Now - Who.Since >= this->Times.ForgetDead) {
+      Out.emplace_back(MemberChanged{Who, true});
+      this->Rumours.erase(*Item);
+      this->Members.erase(*Item);
+      Item = this->Departed.erase(Item);
+      continue;
+    }
+    ++Item;
+  }
+}
+
+void Membership::onReceived(const GossipReceived &Event, TimePoint Now,
+                            Draws &Random, Effects &Out) {
+  const GossipMessage &Message = Event.Message;
+  if (Message.From.Who.Key == this->Self.Who.Key)
+    return;
+  this->learn(Message.From, true, Now, Random, Out);
+  // Members of a page are known to others already, so they are not passed on.
+  const auto *Page = std::get_if<Ack>(&Message.Body);
+  bool PassOn = !Page || !Page->Sync;
+  for (const MemberUpdate &Update : Message.Updates)
+    this->learn(Update, PassOn, Now, Random, Out);
+  auto Sender = this->Members.find(Message.From.Who.Key);
+  if (Sender == this->Members.end())
+    return;
+  if (Message.Config > Sender->second.Config)
+    Sender->second.Config = Message.Config;
+  if (Message.Config > this->Config)
+    Out.emplace_back(MemberHasConfig{Message.From.Who.Key,
+                                     Message.From.Who.Peer, Message.Config});
+
+  std::visit(Overload{[&](const Ping &Body) { this->onPing(Body, Event, Out); },
+                      [&](const PingRequest &Body) {
+                        this->onPingRequest(Body, Event, Now, Out);
+                      },
+                      [&](const Ack &Body) { this->onAck(Body, Event, Out); },
+                      [&](const Announce &) {}},
+             Message.Body);
+}
+
+void Membership::onPing(const Ping &Body, const GossipReceived &Event,
+                        Effects &Out) {
+  const ProcessKey &Sender = Event.Message.From.Who.Key;
+  if (!Body.Sync)
+    return this->send(Event.From, Ack{Body.Sequence}, &Sender, Out);
+
+  GossipMessage Page = this->message(Ack{Body.Sequence, true, true, true});
+  std::size_t Bytes = encodedBound(this->Self);
+  auto Item = Body.SyncAfter ? this->Members.upper_bound(*Body.SyncAfter)
+                             : this->Members.begin();
+  for (; Item != this->Members.end(); ++Item) {
+    const Member &Who = Item->second;
+    if (!isPresent(Who.State) || Item->first == Sender)
+      continue;
+    MemberUpdate Update{Who.Info, Who.Incarnation, Who.State};
+    Bytes += encodedBound(Update);
+    if (Bytes > this->Limits.SyncBytes) {
+      std::get<Ack>(Page.Body).SyncLast = false;
+      break;
+    }
+    Page.Updates.push_back(std::move(Update));
+  }
+  Out.emplace_back(SendGossip{Event.From, std::move(Page)});
+}
+
+void Membership::onPingRequest(const PingRequest &Body,
+                               const GossipReceived &Event, TimePoint Now,
+                               Effects &Out) {
+  // Only members are pinged, so that a forged request cannot send traffic
+  // elsewhere.
+  auto Target = this->Members.find(Body.Target);
+  if (Target == this->Members.end() ||
+      this->Relays.size() >= this->Limits.MaxMembers)
+    return;
+  std::uint64_t Sequence = this->NextSequence++;
+  this->Relays[Sequence] = {Event.From, Body.Sequence,
+                            Now + this->Times.ProbeTimeout};
+  this->send(Target->second.Info.Gossip, Ping{Sequence}, &Body.Target, Out);
+}
+
+void Membership::onAck(const Ack &Body, const GossipReceived &Event,
+                       Effects &Out) {
+  if (Body.Sync) {
+    if (Body.Sequence != this->SyncSequence || this->SyncSequence == 0)
+      return;
+    this->SyncSequence = 0;
+    bool Joining = !this->SyncDone;
+    if (Body.SyncLast) {
+      this->SyncDone = true;
+      this->SyncAfter.reset();
+    } else if (!Event.Message.Updates.empty()) {
+      this->SyncAfter = Event.Message.Updates.back().Who.Key;
+    }
+    if (Joining && !Body.SyncLast) {
+      this->SyncSequence = this->NextSequence++;
+      this->send(Event.From, Ping{this->SyncSequence, true, this->SyncAfter},
+                 &Event.Message.From.Who.Key, Out);
+    }
+    return;
+  }
+  auto Relayed = this->Relays.find(Body.Sequence);
+  if (Relayed != this->Relays.end()) {
+    Relay Done = Relayed->second;
+    this->Relays.erase(Relayed);
+    return this->send(Done.For, Ack{Done.Sequence, Body.Reached}, nullptr, Out);
+  }
+  if (!this->Running || this->Running->Sequence != Body.Sequence)
+    return;
+  bool Direct = Event.Message.From.Who.Key == this->Running->Target;
+  if (!Direct)
+    this->Running->HelperAnswered = true;
+  if (!Body.Reached)
+    return;
+  this->Running.reset();
+  if (this->Health > 0)
+    --this->Health;
+}
+
+void Membership::learnSelf(const MemberUpdate &Update) {
+  if (this->Self.State != MemberState::Alive ||
+      Update.Incarnation < this->Self.Incarnation)
+    return;
+  if (Update.Incarnation == this->Self.Incarnation &&
+      Update.State == MemberState::Alive)
+    return;
+  // Another process accuses this one, or speaks of a predecessor whose clock
+  // was ahead.
+  if (Update.State == MemberState::Suspect)
+    this->Health = std::min(this->Health + 1, this->Limits.MaxHealth);
+  this->Self.Incarnation = Update.Incarnation + 1;
+}
+
+void Membership::learn(const MemberUpdate &Update, bool PassOn, TimePoint Now,
+                       Draws &Random, Effects &Out) {
+  if (Update.Incarnation >
+      this->Self.Incarnation + this->Limits.IncarnationLead)
+    return;
+  if (Update.Who.Key == this->Self.Who.Key)
+    return this->learnSelf(Update);
+
+  const ProcessKey &Key = Update.Who.Key;
+  auto Found = this->Members.find(Key);
+  if (Found == this->Members.end()) {
+    if (this->Members.size() >= this->Limits.MaxMembers)
+      return;
+    Member New{Update.Who, Update.Incarnation, Update.State, {}, Now};
+    bool Present = isPresent(Update.State);
+    // A departed member is remembered, so that older news of its life is not
+    // believed, but it is not passed on.
+    Found = this->Members.emplace(Key, std::move(New)).first;
+    if (!Present) {
+      this->Departed.insert(Key);
+      return;
+    }
+    ++this->Alive;
+    std::size_t Rest = this->ProbeOrder.size() - this->ProbeNext;
+    this->ProbeOrder.insert(this->ProbeOrder.begin() +
+                                static_cast<std::ptrdiff_t>(
+                                    this->ProbeNext + Random.below(Rest + 1)),
+                            Key);
+    if (Update.State == MemberState::Suspect)
+      this->Suspicions[Key] = Now + this->suspicionTime();
+    if (PassOn)
+      this->Rumours[Key] = 0;
+    Out.emplace_back(MemberChanged{Found->second});
+    return;
+  }
+
+  Member &Who = Found->second;
+  if (std::pair(Update.Incarnation, Update.State) <=
+      std::pair(Who.Incarnation, Who.State))
+    return;
+  bool Moved = Who.Info != Update.Who;
+  Who.Info = Update.Who;
+  Who.Incarnation = Update.Incarnation;
+  if (Who.State != Update.State)
+    return this->setState(Who, Update.State, Now, Out);
+  this->Rumours[Key] = 0;
+  if (Who.State == MemberState::Suspect)
+    this->Suspicions[Key] = Now + this->suspicionTime();
+  if (Moved)
+    Out.emplace_back(MemberChanged{Who});
+}
+
+void Membership::setState(Member &Who, MemberState State, TimePoint Now,
+                          Effects &Out) {
+  const ProcessKey &Key = Who.Info.Key;
+  bool WasPresent = isPresent(Who.State);
+  Who.State = State;
+  Who.Since = Now;
+  if (State == MemberState::Suspect)
+    this->Suspicions[Key] = Now + this->suspicionTime();
+  else
+    this->Suspicions.erase(Key);
+  if (WasPresent && !isPresent(State)) {
+    --this->Alive;
+    this->Departed.insert(Key);
+  } else if (!WasPresent && isPresent(State)) {
+    ++this->Alive;
+    this->Departed.erase(Key);
+    if (std::find(this->ProbeOrder.begin(), this->ProbeOrder.end(), Key) ==
+        this->ProbeOrder.end())
+      this->ProbeOrder.push_back(Key);
+  }
+  this->Rumours[Key] = 0;
+  Out.emplace_back(MemberChanged{Who});
+}
+
+GossipMessage Membership::message(GossipBody Body) const {
+  return {this->Self, this->Config, std::move(Body), {}};
+}
+
+void Membership::send(const Endpoint &To, GossipBody Body,
+                      const ProcessKey *Receiver, Effects &Out) {
+  GossipMessage Message = this->message(std::move(Body));
+  std::size_t Bytes = 0;
+  auto Add = [&](const MemberUpdate &Update) {
+    std::size_t Size = encodedBound(Update);
+    if (Message.Updates.size() >= this->Limits.Piggyback ||
+        Bytes + Size > this->Limits.UpdateBytes)
+      return false;
+    Bytes += Size;
+    Message.Updates.push_back(Update);
+    return true;
+  };
+  // The receiver is told first if it is not believed to be alive, so that it
+  // can refute.
+  auto Accused = Receiver ? this->Members.find(*Receiver) : this->Members.end();
+  if (Accused != this->Members.end() &&
+      Accused->second.State != MemberState::Alive)
+    Add({Accused->second.Info, Accused->second.Incarnation,
+         Accused->second.State});
+
+  // Updates that were sent least often go first.
+  std::vector<std::pair<unsigned, const ProcessKey *>> Order;
+  Order.reserve(this->Rumours.size());
+  for (const auto &[Key, Sends] : this->Rumours)
+    if (!Receiver || Key != *Receiver)
+      Order.emplace_back(Sends, &Key);
+  std::size_t Used = std::min(Order.size(), this->Limits.Piggyback);
+  std::partial_sort(
+      Order.begin(), Order.begin() + static_cast<std::ptrdiff_t>(Used),
+      Order.end(), [](const auto &A, const auto &B) {
+        return std::pair(A.first, *A.second) < std::pair(B.first, *B.second);
+      });
+  unsigned Most = this->retransmissions();
+  for (std::size_t Index = 0; Index < Used; ++Index) {
+    const ProcessKey &Key = *Order[Index].second;
+    const Member &Known = this->Members.at(Key);
+    if (Add({Known.Info, Known.Incarnation, Known.State}) &&
+        ++this->Rumours[Key] >= Most)
+      this->Rumours.erase(Key);
+  }
+  Out.emplace_back(SendGossip{To, std::move(Message)});
+}
+
+std::vector<const Member *> Membership::randomMembers(std::size_t Count,
+                                                      const ProcessKey *Except,
+                                                      Draws &Random) const {
+  std::vector<const Member *> Chosen;
+  if (this->ProbeOrder.empty())
+    return Chosen;
+  auto Take = [&](const ProcessKey &Key) {
+    if (Except && Key == *Except)
+      return;
+    auto Found = this->Members.find(Key);
+    if (Found == this->Members.end() || !isPresent(Found->second.State))
+      return;
+    if (std::find(Chosen.begin(), Chosen.end(), &Found->second) == Chosen.end())
+      Chosen.push_back(&Found->second);
+  };
+  // Random picks first; in a table where few are left alive, a walk from a
+  // random place finds them.
+  for (std::size_t Tried = 0; Tried < 4 * Count && Chosen.size() < Count;
+       ++Tried)
+    Take(this->ProbeOrder[Random.below(this->ProbeOrder.size())]);
+  std::size_t Start = Random.below(this->ProbeOrder.size());
+  for (std::size_t Step = 0;
+       Step < this->ProbeOrder.size() && Chosen.size() < Count; ++Step)
+    Take(this->ProbeOrder[(Start + Step) % this->ProbeOrder.size()]);
+  return Chosen;
+}
+
+Duration Membership::suspicionTime() const {
+  double Factor = std::max(1.0, std::log10(static_cast<double>(
+                                    std::max<std::size_t>(this->Alive, 1))));
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(this->Times.SuspicionUnit) * Factor);
+}
+
+unsigned Membership::retransmissions() const {
+  return this->Limits.Retransmit * static_cast<unsigned>(std::ceil(std::log10(
+                                       static_cast<double>(this->Alive) + 2)));
+}
+
+} // namespace balsamyard
