--- a/balsamyard/src/Core/Messages.h
+++ b/balsamyard/src/Core/Messages.h
@@ -81,9 +81,11 @@
   std::string Body;
 };
 
-/// \brief Asks a peer for all documents newer than Have.
+/// \brief Asks a peer for all documents newer than Have. Those named in Whole
+/// are sent as whole texts, because a delta did not fit.
 struct ConfigFetch {
   ConfigVersion Have{};
+  std::vector<std::string> Whole{};
 };
 
 /// \brief Replaces Removed lines from line First (from 0) on by Added. Lines
