Add the entry process

Cause: callers need an HTTP front to the query decisions and the write gates.

Change: balsamyard-entry with a cpp-httplib server (CallerServer, CallerPool), checks of requests, QueryRunner and WriteRunner, status, metrics and health pages, configuration and notices through ControlAgent, graceful shutdown, and the list of quarantined fingerprints.

Ruled out: Server::stop() for the shutdown, because it closes connections that wait for a thread without serving them; the accept loop is ended instead.

--- /dev/null
+++ b/apps/balsamyard-entry/CallerServer.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "apps/balsamyard-entry/CallerPool.h"
+#include "apps/balsamyard-entry/QueryRunner.h"
+#include "apps/balsamyard-entry/WriteRunner.h"
+
+#include <atomic>
+
+namespace balsamyard::entry {
+
+/// \brief The HTTP server for callers and operators.
+class CallerServer {
+public:
+  CallerServer(EntryState &State, QueryRunner &Queries, WriteRunner &Writes);
+  ~CallerServer();
+
+  /// \brief Binds the address and serves on threads of its own.
+  Expected<void> start();
+
+  /// \brief Accepts no more connections, serves those that are open or wait
+  /// for a thread, and stops. Call after EntryState::Stopping was set for a
+  /// while, because callers close their connections since then.
+  /// \returns false if a request was still running at \p Until.
+  bool finish(TimePoint Until);
+
+private:
+  void addRoutes();
+  void serve(const httplib::Request &From, httplib::Response &To);
+  CallerAnswer answer(const httplib::Request &From, TimePoint Arrived,
+                      bool Admitted, CallerRequest &Checked);
+  void send(const CallerAnswer &Answer, httplib::Response &To);
+  void report(const CallerRequest &Request, const CallerAnswer &Answer,
+              Duration Took);
+  void closeIfNeeded(httplib::Response &To) const;
+
+  EntryState &State;
+  QueryRunner &Queries;
+  WriteRunner &Writes;
+  httplib::Server Server;
+  std::atomic<CallerPool *> Pool{nullptr}; ///< Owned by Server.
+  int ListenSocket = -1;
+  std::thread Listener;
+  std::mutex EndMutex;
+  std::condition_variable EndChanged;
+  bool Ended = false; ///< The listener and all caller threads have ended.
+};
+
+} // namespace balsamyard::entry
--- /dev/null
+++ b/apps/balsamyard-entry/QueryRunner.cpp
@@ -0,0 +1,225 @@
+#include "apps/balsamyard-entry/QueryRunner.h"
+
+#include "apps/balsamyard-entry/Mailbox.h"
+
+#include <atomic>
+#include <random>
+
+namespace balsamyard::entry {
+
+namespace {
+
+/// Kept back from the caller's deadline for writing the answer and the way to
+/// the caller (3 ms at both users).
+constexpr Duration AnswerMargin = std::chrono::milliseconds(4);
+
+/// A holder gets this much longer than the query before its call is ended, so
+/// that the query ends it and knows why.
+constexpr Duration CallGrace = std::chrono::milliseconds(50);
+
+/// A reply message as it arrived.
+struct ReplyBytes {
+  std::uint32_t Batch = 0;
+  std::string Bytes;
+  TimePoint At{};
+};
+
+/// The end of a call.
+struct CallEnd {
+  BatchClosed Event;
+  TimePoint At{};
+};
+
+using QueryLetter = std::variant<ReplyBytes, CallEnd>;
+
+std::uint64_t randomSeed() {
+  thread_local std::mt19937_64 Engine(std::random_device{}());
+  return Engine();
+}
+
+QueryId nextQueryId() {
+  // Starts at a random number, so that ids of a restarted process differ.
+  static std::atomic<std::uint64_t> Next{randomSeed()};
+  return QueryId{Next.fetch_add(1, std::memory_order_relaxed)};
+}
+
+/// One search while it runs.
+class RunningQuery {
+public:
+  RunningQuery(Query &Search, PeerClient &Peers, TimePoint Deadline)
+      : Search(Search), Peers(Peers), Deadline(Deadline),
+        Box(makeRef<Mailbox<QueryLetter>>()) {}
+
+  ~RunningQuery() {
+    this->Box->close();
+    // A query that was not finished leaves no calls behind.
+    for (Ref<PeerCall> &Call : this->Calls)
+      if (Call)
+        Call->cancel();
+  }
+
+  RunningQuery(const RunningQuery &) = delete;
+  RunningQuery &operator=(const RunningQuery &) = delete;
+
+  void run() {
+    this->apply(QueryStarted{}, steadyNow());
+    std::vector<QueryLetter> Letters;
+    while (!this->Search.finished()) {
+      this->Box->take(std::min(this->Wake, this->Deadline), Letters);
+      for (QueryLetter &Letter : Letters)
+        std::visit([&](auto &Known) { this->open(Known); }, Letter);
+      const TimePoint Now = steadyNow();
+      if (Now >= std::min(this->Wake, this->Deadline))
+        this->apply(TimeReached{}, Now);
+    }
+  }
+
+private:
+  void open(ReplyBytes &Letter) {
+    Expected<LeafReply> Reply = decode<LeafReply>(Letter.Bytes);
+    if (Reply) {
+      this->apply(LeafAnswered{Letter.Batch, std::move(*Reply)}, Letter.At);
+      return;
+    }
+    // Nothing after an undecodable message of the stream can be trusted.
+    this->carryOut(CancelBatch{Letter.Batch});
+    this->apply(BatchClosed{Letter.Batch, Code::MalformedMessage, true},
+                Letter.At);
+  }
+
+  void open(CallEnd &Letter) {
+    this->Calls[Letter.Event.Batch].reset();
+    this->apply(Letter.Event, Letter.At);
+  }
+
+  void apply(QueryEvent Event, TimePoint Now) {
+    this->Effects.clear();
+    this->Search.handle(std::move(Event), Now, this->Effects);
+    for (const QueryEffect &Effect : this->Effects)
+      std::visit([&](const auto &Known) { this->carryOut(Known); }, Effect);
+  }
+
+  void carryOut(const SendBatch &Effect) {
+    const TimePoint Now = steadyNow();
+    const std::uint32_t Batch = Effect.Batch;
+    if (this->Calls.size() <= Batch)
+      this->Calls.resize(Batch + 1);
+    this->Calls[Batch] = this->Peers.call(
+        this->Search.holderOf(Batch).Peer, "/v1/leaf-batch",
+        encode(this->Search.message(Batch, Now)),
+        std::max(this->Deadline - Now, Duration(0)) + CallGrace,
+        [Box = this->Box, Batch](std::string Bytes) {
+          Box->put(ReplyBytes{Batch, std::move(Bytes), steadyNow()});
+        },
+        [Box = this->Box, Batch](Code Result, bool Sent) {
+          Box->put(CallEnd{{Batch, Result, Sent}, steadyNow()});
+        });
+  }
+
+  void carryOut(const CancelBatch &Effect) {
+    if (Ref<PeerCall> Call = std::move(this->Calls[Effect.Batch]))
+      Call->cancel();
+  }
+
+  void carryOut(const WakeAt &Effect) { this->Wake = Effect.At; }
+  void carryOut(const Finish & /*Effect*/) {}
+
+  Query &Search;
+  PeerClient &Peers;
+  const TimePoint Deadline;
+  TimePoint Wake = TimePoint::max();
+  Ref<Mailbox<QueryLetter>> Box;
+  std::vector<Ref<PeerCall>> Calls; ///< By batch.
+  QueryEffects Effects;
+};
+
+std::string routeLabels(const CallerRequest &Request) {
+  return "service=\"" + Request.Service.Text + "\",route=\"" +
+         Request.Route.Text + "\"";
+}
+
+} // namespace
+
+CallerAnswer QueryRunner::run(const CallerRequest &Request) {
+  const TimePoint Now = steadyNow();
+  Ref<const RoutingIndex> Index = this->State.Index.read();
+  const ServiceIndex *Service = Index->service(Request.Service);
+  if (!Service || !Service->HasSnapshot)
+    return refuse(Code::NotReady, Request.Id, Outcome::NotRun,
+                  "the service has no complete snapshot");
+  if (this->State.Quarantine.contains(Request.Print, Now))
+    return refuse(Code::Quarantined, Request.Id, Outcome::NotRun);
+
+  const TimePoint Deadline = Request.Deadline - AnswerMargin;
+  Arrival Arriving;
+  Arriving.TimeLeft = Deadline - Now;
+  Arriving.InFlight = this->State.InFlight.count() - 1;
+  Arriving.Limit = this->State.InFlight.limit();
+  Arriving.ServiceInFlight = Service->Stats->inFlight();
+  Arriving.HalfTime = Service->Stats->halfTime();
+  Arriving.UsualInFlight = Service->Stats->usualInFlight();
+  if (const Code Admitted = admit(Arriving); Admitted != Code::Ok)
+    return refuse(Admitted, Request.Id, Outcome::NotRun);
+
+  auto Split = Index->View->Splits.find({Request.Service, Request.Route});
+  const VersionRoutes *Routes = Service->choose(
+      Split == Index->View->Splits.end() ? nullptr : &Split->second,
+      Request.Id);
+  if (!Routes)
+    return refuse(Code::NoUsableSlot, Request.Id, Outcome::NotRun);
+
+  QueryInput Input;
+  Input.Id = nextQueryId();
+  Input.Request = Request.Id;
+  Input.Route = Request.Route;
+  Input.Print = Request.Print;
+  Input.Body = Request.Body;
+  Input.Deadline = Deadline;
+  Input.WantedCoverage = Request.Coverage;
+  Input.ExtraShare =
+      Index->View->Configuration.searchFor(Request.Service, Request.Route)
+          .Hedge;
+  Input.Seed = randomSeed();
+  Query Search(std::move(Input), *Service, *Routes, this->State.Budget);
+  Service->Stats->started();
+  RunningQuery(Search, this->Peers, Deadline).run();
+  Service->Stats->ended(Search.halfTime(), Arriving.ServiceInFlight);
+
+  QueryAnswer Merged = Search.takeAnswer();
+  const QueryCounts &Counts = Search.counts();
+  Metrics &Numbers = this->State.Numbers;
+  const std::string Labels = routeLabels(Request);
+  Numbers.add("balsamyard_leaf_requests_total", Labels,
+              Counts.Leaves + Counts.Hedges + Counts.Retries);
+  Numbers.add("balsamyard_batches_total", Labels, Counts.Batches);
+  Numbers.add("balsamyard_hedges_total", Labels, Counts.Hedges);
+  Numbers.add("balsamyard_retries_total", Labels, Counts.Retries);
+  Numbers.add("balsamyard_extra_denied_total", Labels, Counts.Denied);
+  Numbers.add("balsamyard_replies_dropped_total", Labels, Counts.Dropped);
+  if (Merged.Result == Code::Partial)
+    logEvent(LogLevel::Warning, "query-partial",
+             {{"request", Request.Id.Text},
+              {"service", Request.Service.Text},
+              {"route", Request.Route.Text},
+              {"version", Routes->Version.Text},
+              {"shards_answered", std::int64_t(Merged.Covered.ShardsAnswered)},
+              {"shards_asked", std::int64_t(Merged.Covered.ShardsAsked)},
+              {"hedges", std::int64_t(Counts.Hedges)},
+              {"retries", std::int64_t(Counts.Retries)},
+              {"denied", std::int64_t(Counts.Denied)}});
+
+  CallerAnswer Answer;
+  Answer.Result = Merged.Result;
+  Answer.Request = Request.Id;
+  Answer.Ran = Merged.Ran;
+  Answer.Version = Routes->Version;
+  Answer.Snapshot = Service->Snapshot;
+  Answer.Covered = std::move(Merged.Covered);
+  if (isSuccess(Merged.Result))
+    Answer.Rows = std::move(Merged.Rows);
+  else if (const CodeInfo *Info = find(Merged.Result))
+    Answer.Detail = Info->Meaning;
+  return Answer;
+}
+
+} // namespace balsamyard::entry
--- /dev/null
+++ b/apps/balsamyard-entry/StatusPage.cpp
@@ -0,0 +1,96 @@
+#include "apps/balsamyard-entry/StatusPage.h"
+
+#include <nlohmann/json.hpp>
+
+namespace balsamyard::entry {
+
+namespace {
+
+using OrderedJson = nlohmann::ordered_json;
+
+double toMillis(Duration Value) {
+  return std::chrono::duration<double, std::milli>(Value).count();
+}
+
+OrderedJson serviceJson(const ServiceIndex &Service) {
+  OrderedJson Versions = OrderedJson::array();
+  for (const VersionRoutes &Routes : Service.Versions)
+    Versions.push_back({{"version", Routes.Version.Text},
+                        {"leaves_served", Routes.ServedLeaves},
+                        {"usable_slots", Routes.Slots.size()}});
+  return {{"service", Service.Service.Text},
+          {"snapshot", static_cast<std::uint64_t>(Service.Snapshot)},
+          {"leaves", Service.Leaves.size()},
+          {"shards", Service.Shards.size()},
+          {"versions", Versions},
+          {"in_flight", Service.Stats->inFlight()},
+          {"half_time_ms", toMillis(Service.Stats->halfTime())},
+          {"hedge_delay_ms",
+           toMillis(HedgePolicy::forService(*Service.Stats).Delay)}};
+}
+
+} // namespace
+
+HealthPage healthPage(const EntryState &State) {
+  if (State.Stopping.load(std::memory_order_relaxed))
+    return {503, R"({"state":"leaving"})"};
+  if (!State.Index.read()->View->Ready)
+    return {503, R"({"state":"not-ready"})"};
+  return {200, R"({"state":"ready"})"};
+}
+
+std::string statusPage(const EntryState &State) {
+  Ref<const RoutingIndex> Index = State.Index.read();
+  const RoutingView &View = *Index->View;
+  OrderedJson Services = OrderedJson::array();
+  for (const auto &[Name, Service] : Index->Services)
+    Services.push_back(serviceJson(*Service));
+  std::size_t Alive = 0;
+  for (const auto &[Name, Node] : View.Nodes)
+    Alive += Node.Alive ? 1 : 0;
+  const OrderedJson Page = {
+      {"process", "entry"},
+      {"software", BALSAMYARD_VERSION},
+      {"node", State.Own.Node.Text},
+      {"domain", State.Own.Domain.Text},
+      {"region", State.Own.Region.Text},
+      {"ready", View.Ready},
+      {"stopping", State.Stopping.load(std::memory_order_relaxed)},
+      {"config", static_cast<std::uint64_t>(View.Version)},
+      {"nodes", {{"alive", Alive}, {"known", View.Nodes.size()}}},
+      {"in_flight", State.InFlight.count()},
+      {"in_flight_limit", State.InFlight.limit()},
+      {"quarantined", State.Quarantine.size()},
+      {"extra_load",
+       {{"first_attempts", State.Budget.firstAttempts()},
+        {"granted", State.Budget.spent()},
+        {"denied", State.Budget.denied()}}},
+      {"services", Services}};
+  return Page.dump(2);
+}
+
+std::string metricsPage(EntryState &State) {
+  Metrics &Numbers = State.Numbers;
+  Ref<const RoutingIndex> Index = State.Index.read();
+  Numbers.set(
+      "balsamyard_config_version", "",
+      static_cast<double>(static_cast<std::uint64_t>(Index->View->Version)));
+  Numbers.set("balsamyard_ready", "", Index->View->Ready ? 1 : 0);
+  Numbers.set("balsamyard_in_flight", "", State.InFlight.count());
+  Numbers.set("balsamyard_first_attempts", "",
+              static_cast<double>(State.Budget.firstAttempts()));
+  Numbers.set("balsamyard_extra_granted", "",
+              static_cast<double>(State.Budget.spent()));
+  for (const auto &[Name, Service] : Index->Services) {
+    const std::string Labels = "service=\"" + Name.Text + "\"";
+    Numbers.set("balsamyard_service_in_flight", Labels,
+                Service->Stats->inFlight());
+    Numbers.set("balsamyard_hedge_delay_seconds", Labels,
+                std::chrono::duration<double>(
+                    HedgePolicy::forService(*Service->Stats).Delay)
+                    .count());
+  }
+  return Numbers.toText();
+}
+
+} // namespace balsamyard::entry
