Add the stand-in target

Change: standin-target serves one or many slots over cpp-httplib, with deterministic rows, write counts per request id, a hard connection limit, a cold limit whose overload is counted and fails, and faults by POST /fault.

Ruled out: httplib's own connection loop, which cannot reset its kept connections or cut an answer short; the server reads its sockets itself. The package's listen backlog of 5 is raised by a second listen() on the socket.

--- /dev/null
+++ b/apps/standin-target/TargetServer.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "TargetModel.h"
+
+#include <memory>
+
+namespace standin {
+
+/// \brief Serves one TargetModel over HTTP.
+class TargetServer {
+public:
+  explicit TargetServer(TargetSettings Settings);
+  ~TargetServer();
+
+  /// \brief Binds the port and starts to accept.
+  balsamyard::Expected<balsamyard::Endpoint> start();
+
+  /// \brief Closes all connections and waits for their threads.
+  void stop();
+
+private:
+  struct Impl;
+  std::unique_ptr<Impl> Implementation;
+};
+
+} // namespace standin
