--- a/balsamyard/src/Core/Messages.h
+++ b/balsamyard/src/Core/Messages.h
@@ -4,6 +4,7 @@
 #include "balsamyard/src/Core/Names.h"
 #include "balsamyard/src/Core/Time.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <variant>
@@ -11,6 +12,9 @@
 
 namespace balsamyard {
 
+/// \brief Longest message between own processes, in bytes.
+inline constexpr std::size_t MaxMessageBytes = 1 << 20;
+
 /// \brief Whether a request ran. "NotRun" is only said if no target has started
 /// it or still can.
 enum class Outcome : std::uint8_t { NotRun, Unknown, Ran };
@@ -81,9 +85,11 @@
   std::string Body;
 };
 
-/// \brief Asks a peer for all documents newer than Have.
+/// \brief Asks a peer for all documents newer than Have. Those named in Whole
+/// are sent as whole texts, because a delta did not fit.
 struct ConfigFetch {
   ConfigVersion Have{};
+  std::vector<std::string> Whole{};
 };
 
 /// \brief Replaces Removed lines from line First (from 0) on by Added. Lines
