Run membership and configuration in every process

Cause: entry and holder read one routing view; something has to build it. Ruled out: strands per module (the decisions need one order of events), so one mutex guards them and three threads wait: UDP and timer, blocking platform calls, and the building of views; parsing on the gossip thread (a late tick would look like a slow process). Change: ControlAgent; ConfigFetch.Whole travels in the codec. Conclusion: compiles; TrafficSplit stays empty until the move documents exist.

--- a/balsamyard/src/Process/Codec.cpp
+++ b/balsamyard/src/Process/Codec.cpp
@@ -59,7 +59,9 @@
   return std::tie(M.Request, M.Result, M.Ran, M.Version, M.Body);
 }
 
-template <Of<ConfigFetch> T> auto fields(T &M) { return std::tie(M.Have); }
+template <Of<ConfigFetch> T> auto fields(T &M) {
+  return std::tie(M.Have, M.Whole);
+}
 
 template <Of<LineEdit> T> auto fields(T &M) {
   return std::tie(M.First, M.Removed, M.Added);
--- /dev/null
+++ b/balsamyard/src/Process/ControlAgent.cpp
@@ -0,0 +1,702 @@
+#include "balsamyard/src/Process/ControlAgent.h"
+
+#include "balsamyard/src/Connection/PeerClient.h"
+#include "balsamyard/src/Process/Codec.h"
+#include "balsamyard/src/Process/ConfigSpread.h"
+#include "balsamyard/src/Process/GossipCodec.h"
+#include "balsamyard/src/Process/Log.h"
+#include "balsamyard/src/Version/RulesDelta.h"
+
+#include <array>
+#include <asio.hpp>
+#include <condition_variable>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <random>
+#include <thread>
+
+namespace balsamyard {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// The platform answers in milliseconds; later it counts as unavailable.
+constexpr Duration PlatformTimeout = 2s;
+
+/// Two round trips between regions and a page of 512 KB take below 1 s.
+constexpr Duration FetchTimeout = 2s;
+
+constexpr Duration NoticeTimeout = 1s;
+constexpr unsigned NoticeTries = 3;
+constexpr Duration NoticePause = 500ms;
+
+/// Shortest time between two publications, which joins the changes of a
+/// restarted failure domain into few views.
+constexpr Duration PublishPeriod = 50ms;
+
+/// The VM list only changes when VMs are replaced; 840 holders that read it
+/// cost the platform 28 reads a second.
+constexpr Duration VmListPeriod = 30s;
+
+/// A slot that left may have been replaced by then; if it has not, its next
+/// answer says again that it is leaving.
+constexpr Duration LeavingSlotTime = 5min;
+
+/// A process is not ready before it knows its peers, but it does not wait
+/// longer than this for them.
+constexpr Duration JoinWait = 3s;
+
+const std::string SharedPrefix = "shared/";
+
+template <typename... Handlers> struct Overload : Handlers... {
+  using Handlers::operator()...;
+};
+template <typename... Handlers> Overload(Handlers...) -> Overload<Handlers...>;
+
+asio::ip::udp::endpoint toUdp(const Endpoint &At) {
+  return {asio::ip::make_address(At.Address), At.Port};
+}
+
+Endpoint fromUdp(const asio::ip::udp::endpoint &At) {
+  return {At.address().to_string(), At.port()};
+}
+
+bool isPresent(MemberState State) {
+  return State == MemberState::Alive || State == MemberState::Suspect;
+}
+
+/// A document in the form that requests use.
+using ParsedDocument =
+    std::variant<std::monostate, Rules, ServiceCatalog, ShareTable, GateTable>;
+
+template <typename T> Expected<ParsedDocument> widen(Expected<T> Value) {
+  if (!Value)
+    return tl::unexpected(Value.error());
+  return ParsedDocument(std::move(*Value));
+}
+
+Expected<ParsedDocument> parseDocument(const std::string &Name,
+                                       const std::string &Text) {
+  if (Name == "rules") {
+    auto Parsed = parseRules(Text);
+    if (Parsed)
+      return ParsedDocument(std::move(*Parsed));
+    const RuleFault &First = Parsed.error().front();
+    return fail(First.Value, "line " + std::to_string(First.Line) +
+                                 ", column " + std::to_string(First.Column) +
+                                 ": expected " + First.Expectation);
+  }
+  if (Name == "gates")
+    return widen(parseGateTable(Text));
+  if (Name.starts_with("catalog/"))
+    return widen(parseCatalog(Text));
+  if (Name.starts_with("shares/"))
+    return widen(parseShareTable(Text));
+  return ParsedDocument();
+}
+
+} // namespace
+
+struct ControlAgent::Impl {
+  /// Lives until the last running call to a peer has ended.
+  struct Core : RefCounted<Core> {
+    Core(const Settings &Own, ProcessRole Role, PeerClient &Peers);
+
+    Expected<void> start();
+    void stop();
+
+    Settings Own;
+    ProcessKey Self;
+    PeerClient &Peers;
+    PlatformClient Platform;
+    RcuCell<RoutingView> View{makeRef<const RoutingView>()};
+
+    asio::io_context Io;
+    asio::ip::udp::socket Socket{Io};
+    asio::steady_timer Timer{Io};
+    asio::ip::udp::endpoint Sender;
+    std::array<char, MaxGossipBytes + 1> Datagram{};
+
+    /// Guards everything below.
+    std::mutex Mutex;
+    std::condition_variable Changed;
+    bool Stopping = false;
+    std::mt19937_64 Random{std::random_device{}()};
+    std::unique_ptr<Membership> Members;
+    ConfigSpread Spread;
+    TimePoint StartedAt{};
+
+    std::optional<ReadPlatform> PlatformJob;
+    bool PlatformDown = false;
+    std::vector<PlatformVm> Vms;
+
+    bool ViewDue = false;
+    std::set<std::string> ChangedDocuments;
+    std::map<SlotKey, TimePoint> LeavingSlots; ///< Until when.
+    std::map<RouteKey, VersionTakenBack> TakenBack;
+    std::vector<std::function<void(Ref<const RoutingView>)>> ChangeHandlers;
+    std::vector<std::function<void(const Notice &)>> NoticeHandlers;
+
+    /// Used by the view thread only.
+    std::map<std::string, ParsedDocument> Parsed;
+
+    std::thread GossipThread;
+    std::thread PlatformThread;
+    std::thread ViewThread;
+
+    void receive();
+    void scheduleTick(TimePoint Due);
+    void feed(const MembershipEvent &Event);
+    void feed(const ConfigEvent &Event);
+    void carryOut(const MembershipEffect &Effect);
+    void carryOut(const ConfigEffect &Effect);
+    void send(const SendGossip &Effect);
+    void fetch(const FetchFrom &Effect);
+    void requestView();
+
+    void runPlatform();
+    ConfigEvent readPlatform(const ReadPlatform &Job);
+    Expected<std::string> readRules(const std::string &Head);
+    void readVms();
+
+    void runViews();
+    void parseChanged(
+        const std::map<std::string, std::pair<ConfigVersion, std::string>>
+            &Texts);
+    void addNodes(RoutingView &Next);
+
+    void acceptNotice(const Notice &News);
+    void sendNotice(const Endpoint &To, const std::string &Message,
+                    unsigned TriesLeft);
+  };
+
+  Ref<Core> Shared;
+};
+
+ControlAgent::Impl::Core::Core(const Settings &Own, ProcessRole Role,
+                               PeerClient &Peers)
+    : Own(Own), Self{Own.Node, Role}, Peers(Peers),
+      Platform(Own.Platform, PlatformTimeout), Spread(Self, Own.Domain) {}
+
+Expected<void> ControlAgent::Impl::Core::start() {
+  asio::error_code Fault;
+  asio::ip::udp::endpoint At = toUdp(this->Own.Gossip);
+  this->Socket.open(At.protocol(), Fault);
+  if (!Fault)
+    this->Socket.bind(At, Fault);
+  if (Fault)
+    return fail(Code::SettingsBadValue, "cannot bind the gossip address " +
+                                            toText(this->Own.Gossip) + ": " +
+                                            Fault.message());
+  MemberInfo Info{this->Self, this->Own.Domain, this->Own.Region,
+                  fromUdp(this->Socket.local_endpoint()), this->Own.Peer};
+  this->StartedAt = steadyNow();
+  this->Members = std::make_unique<Membership>(
+      Info, static_cast<std::uint64_t>(wallNow().time_since_epoch().count()),
+      this->Own.Seeds);
+  this->receive();
+  this->scheduleTick(this->StartedAt);
+  this->GossipThread = std::thread([this] { this->Io.run(); });
+  this->PlatformThread = std::thread([this] { this->runPlatform(); });
+  this->ViewThread = std::thread([this] { this->runViews(); });
+  return {};
+}
+
+void ControlAgent::Impl::Core::stop() {
+  {
+    std::lock_guard<std::mutex> Lock(this->Mutex);
+    if (this->Stopping)
+      return;
+    this->Stopping = true;
+  }
+  this->Changed.notify_all();
+  this->Platform.stop();
+  this->Io.stop();
+  for (std::thread *Thread :
+       {&this->GossipThread, &this->PlatformThread, &this->ViewThread})
+    if (Thread->joinable())
+      Thread->join();
+  asio::error_code Ignored;
+  this->Socket.close(Ignored);
+}
+
+void ControlAgent::Impl::Core::receive() {
+  this->Socket.async_receive_from(
+      asio::buffer(this->Datagram), this->Sender,
+      [this](asio::error_code Fault, std::size_t Size) {
+        if (Fault == asio::error::operation_aborted)
+          return;
+        // An unreachable peer may show as an error of the next receive; the
+        // socket stays usable.
+        if (!Fault) {
+          Expected<GossipMessage> Message =
+              decodeGossip({this->Datagram.data(), Size});
+          std::lock_guard<std::mutex> Lock(this->Mutex);
+          if (Message)
+            this->feed(GossipReceived{fromUdp(this->Sender), *Message});
+          else
+            logEvent(LogLevel::Warning, "gossip-refused",
+                     {{"from", toText(fromUdp(this->Sender))},
+                      {"code", Message.error().Value},
+                      {"detail", Message.error().Detail}});
+        }
+        this->receive();
+      });
+}
+
+void ControlAgent::Impl::Core::scheduleTick(TimePoint Due) {
+  this->Timer.expires_at(Due);
+  this->Timer.async_wait([this, Due](asio::error_code Fault) {
+    if (Fault)
+      return;
+    {
+      std::lock_guard<std::mutex> Lock(this->Mutex);
+      this->feed(MembershipEvent(MembershipTick{}));
+      this->feed(ConfigEvent(ConfigTick{}));
+    }
+    // Ticks that were missed during a pause are not made up for.
+    this->scheduleTick(std::max(Due + MembershipTimes{}.Tick, steadyNow()));
+  });
+}
+
+void ControlAgent::Impl::Core::feed(const MembershipEvent &Event) {
+  for (const MembershipEffect &Effect :
+       this->Members->handle(Event, steadyNow(), this->Random()))
+    this->carryOut(Effect);
+}
+
+void ControlAgent::Impl::Core::feed(const ConfigEvent &Event) {
+  for (const ConfigEffect &Effect :
+       this->Spread.handle(Event, steadyNow(), this->Random()))
+    this->carryOut(Effect);
+}
+
+void ControlAgent::Impl::Core::carryOut(const MembershipEffect &Effect) {
+  std::visit(Overload{[&](const SendGossip &Sent) { this->send(Sent); },
+                      [&](const MemberChanged &Change) {
+                        const Member &Who = Change.Now;
+                        if (!Change.Forgotten)
+                          logEvent(LogLevel::Info, "member-changed",
+                                   {{"member", toText(Who.Info.Key)},
+                                    {"state", std::string(toText(Who.State))},
+                                    {"incarnation", static_cast<std::int64_t>(
+                                                        Who.Incarnation)}});
+                        this->feed(ConfigEvent(ConfigPeerChanged{
+                            Who.Info.Key, Who.Info.Peer, Who.Info.Domain,
+                            !Change.Forgotten && isPresent(Who.State)}));
+                        this->requestView();
+                      },
+                      [&](const MemberHasConfig &News) {
+                        this->feed(ConfigEvent(
+                            PeerHasVersion{News.Who, News.Peer, News.Version}));
+                      }},
+             Effect);
+}
+
+void ControlAgent::Impl::Core::send(const SendGossip &Effect) {
+  // Gossip may be lost at any time, so a failed send is not reported.
+  asio::error_code Ignored;
+  this->Socket.send_to(asio::buffer(encodeGossip(Effect.Message)),
+                       toUdp(Effect.To), 0, Ignored);
+}
+
+void ControlAgent::Impl::Core::carryOut(const ConfigEffect &Effect) {
+  std::visit(
+      Overload{[&](const AnnounceVersion &News) {
+                 this->feed(MembershipEvent(AnnounceConfig{News.Peers}));
+               },
+               [&](const FetchFrom &Fetch) { this->fetch(Fetch); },
+               [&](const ReadPlatform &Read) {
+                 this->PlatformJob = Read;
+                 this->Changed.notify_all();
+               },
+               [&](const DocumentsApplied &Applied) {
+                 this->ChangedDocuments.insert(Applied.Names.begin(),
+                                               Applied.Names.end());
+                 this->requestView();
+               },
+               [&](const VersionReached &Reached) {
+                 logEvent(
+                     LogLevel::Info, "config-applied",
+                     {{"config", static_cast<std::int64_t>(Reached.Version)}});
+                 this->feed(MembershipEvent(ConfigAdvanced{Reached.Version}));
+                 this->requestView();
+               },
+               [&](const DocumentRefused &Refused) {
+                 logEvent(LogLevel::Warning, "document-refused",
+                          {{"document", Refused.Name},
+                           {"from", toText(Refused.From)},
+                           {"code", Code::DigestMismatch}});
+               },
+               [&](const ConfigReady &) {
+                 logEvent(LogLevel::Info, "config-ready", {});
+                 this->requestView();
+               }},
+      Effect);
+}
+
+void ControlAgent::Impl::Core::fetch(const FetchFrom &Effect) {
+  Ref<Core> Keep(this);
+  auto Reply = std::make_shared<std::string>();
+  auto Event = std::make_shared<ConfigEvent>(FetchFailed{Effect.Who});
+  this->Peers.call(
+      Effect.Peer, "/v1/config", encode(Effect.Question), FetchTimeout,
+      [Reply](std::string Message) { *Reply = std::move(Message); },
+      [Keep, Reply, Event, Who = Effect.Who](Code Result, bool) {
+        if (Result == Code::Ok)
+          if (auto Answer = decode<ConfigDelta>(*Reply))
+            Event->emplace<FetchAnswered>(
+                FetchAnswered{Who, std::move(*Answer)});
+        // The queue of Io dies with the core, so its entries hold no reference.
+        asio::post(Keep->Io, [Shared = Keep.get(), Event] {
+          std::lock_guard<std::mutex> Lock(Shared->Mutex);
+          Shared->feed(*Event);
+        });
+      });
+}
+
+void ControlAgent::Impl::Core::requestView() {
+  this->ViewDue = true;
+  this->Changed.notify_all();
+}
+
+void ControlAgent::Impl::Core::runPlatform() {
+  TimePoint NextVms = this->StartedAt;
+  for (;;) {
+    std::optional<ReadPlatform> Job;
+    {
+      std::unique_lock<std::mutex> Lock(this->Mutex);
+      auto Wanted = [&] { return this->Stopping || this->PlatformJob; };
+      if (this->Self.Role == ProcessRole::Holder)
+        this->Changed.wait_until(Lock, NextVms, Wanted);
+      else
+        this->Changed.wait(Lock, Wanted);
+      if (this->Stopping)
+        return;
+      Job.swap(this->PlatformJob);
+    }
+    if (Job) {
+      ConfigEvent Event = this->readPlatform(*Job);
+      std::lock_guard<std::mutex> Lock(this->Mutex);
+      if (this->Stopping)
+        return;
+      bool Down = std::holds_alternative<PlatformFailed>(Event);
+      if (Down != this->PlatformDown)
+        logEvent(Down ? LogLevel::Warning : LogLevel::Info,
+                 Down ? "platform-unavailable" : "platform-available", {});
+      this->PlatformDown = Down;
+      this->feed(Event);
+    }
+    if (this->Self.Role == ProcessRole::Holder && steadyNow() >= NextVms) {
+      this->readVms();
+      NextVms = steadyNow() + VmListPeriod;
+    }
+  }
+}
+
+ConfigEvent ControlAgent::Impl::Core::readPlatform(const ReadPlatform &Job) {
+  Expected<PlatformListing> Listing =
+      Job.Wait ? this->Platform.watch(SharedPrefix, Job.After)
+               : this->Platform.list(SharedPrefix);
+  if (!Listing)
+    return PlatformFailed{};
+  PlatformAnswered Result{Listing->Version, {}, {}};
+  for (const PlatformEntry &Entry : Listing->Entries) {
+    if (!Entry.Name.starts_with(SharedPrefix))
+      continue;
+    Result.Newest = std::max(Result.Newest, ConfigVersion{Entry.Version});
+    std::string Name = Entry.Name.substr(SharedPrefix.size());
+    bool IsRules = Name == "rules/head";
+    if (IsRules)
+      Name = "rules";
+    {
+      std::lock_guard<std::mutex> Lock(this->Mutex);
+      auto Held = this->Spread.documents().find(Name);
+      if (Held != this->Spread.documents().end() &&
+          Held->second.Version >= ConfigVersion{Entry.Version})
+        continue;
+    }
+    Expected<PlatformObject> Object = this->Platform.get(Entry.Name);
+    if (!Object && Object.error().Value == Code::ObjectAbsent)
+      continue;
+    if (!Object)
+      return PlatformFailed{};
+    std::string Text = std::move(Object->Value);
+    if (IsRules) {
+      Expected<std::string> Whole = this->readRules(Text);
+      if (!Whole) {
+        logEvent(LogLevel::Error, "document-refused",
+                 {{"document", Name},
+                  {"code", Whole.error().Value},
+                  {"detail", Whole.error().Detail}});
+        // A malformed head stays malformed; anything else is tried again.
+        if (Whole.error().Value == Code::PlatformMalformed)
+          continue;
+        return PlatformFailed{};
+      }
+      Text = std::move(*Whole);
+    }
+    Result.Documents.push_back(
+        {Name, ConfigVersion{Object->Version}, std::move(Text)});
+  }
+  return Result;
+}
+
+Expected<std::string>
+ControlAgent::Impl::Core::readRules(const std::string &Head) {
+  nlohmann::json Value = nlohmann::json::parse(Head, nullptr, false);
+  if (!Value.is_object() || !Value.contains("parts") ||
+      !Value["parts"].is_array() || !Value.contains("digest") ||
+      !Value["digest"].is_string())
+    return fail(Code::PlatformMalformed,
+                "rules head: expected an object with 'parts' and 'digest'");
+  std::string Text;
+  for (const nlohmann::json &Part : Value["parts"]) {
+    if (!Part.is_string())
+      return fail(Code::PlatformMalformed, "rules head: expected digests");
+    Expected<PlatformObject> Object =
+        this->Platform.get("rules-part/" + Part.get<std::string>());
+    if (!Object)
+      return tl::unexpected(Object.error());
+    Text += Object->Value;
+  }
+  if (digestOf(Text) != Value["digest"].get<std::string>())
+    return fail(Code::DigestMismatch, "rules: parts do not match the head");
+  return Text;
+}
+
+void ControlAgent::Impl::Core::readVms() {
+  Expected<std::vector<PlatformVm>> List = this->Platform.vms();
+  if (!List)
+    return;
+  std::lock_guard<std::mutex> Lock(this->Mutex);
+  this->Vms = std::move(*List);
+  this->requestView();
+}
+
+void ControlAgent::Impl::Core::parseChanged(
+    const std::map<std::string, std::pair<ConfigVersion, std::string>> &Texts) {
+  for (const auto &[Name, Item] : Texts) {
+    const auto &[Version, Text] = Item;
+    Expected<ParsedDocument> Value = parseDocument(Name, Text);
+    if (!Value) {
+      logEvent(LogLevel::Error, "document-refused",
+               {{"document", Name},
+                {"config", static_cast<std::int64_t>(Version)},
+                {"code", Value.error().Value},
+                {"detail", Value.error().Detail}});
+      continue;
+    }
+    if (auto *Table = std::get_if<ShareTable>(&*Value))
+      Table->Version = static_cast<std::uint64_t>(Version);
+    if (auto *Table = std::get_if<GateTable>(&*Value))
+      Table->Version = static_cast<std::uint64_t>(Version);
+    this->Parsed[Name] = std::move(*Value);
+  }
+}
+
+void ControlAgent::Impl::Core::addNodes(RoutingView &Next) {
+  for (const PlatformVm &Vm : this->Vms)
+    Next.Nodes[Vm.Node] = {Vm.Node,   Vm.Domain, Vm.Region,
+                           Vm.Holder, false,     Vm.Leaving};
+  auto Add = [&](const MemberInfo &Who, MemberState State) {
+    NodeInfo &Node = Next.Nodes[Who.Key.Node];
+    Node.Name = Who.Key.Node;
+    Node.Domain = Who.Domain;
+    Node.Region = Who.Region;
+    Node.Peer = Who.Peer;
+    // A member that left serves until it is taken for dead.
+    Node.Alive = State != MemberState::Dead;
+    Node.Leaving = Node.Leaving || State == MemberState::Left;
+  };
+  for (const auto &[Key, Who] : this->Members->members())
+    if (Key.Role == ProcessRole::Holder)
+      Add(Who.Info, Who.State);
+  if (this->Self.Role == ProcessRole::Holder)
+    Add(this->Members->self().Who, this->Members->self().State);
+}
+
+void ControlAgent::Impl::Core::runViews() {
+  TimePoint NotBefore{};
+  for (;;) {
+    auto Next = makeRef<RoutingView>();
+    std::map<std::string, std::pair<ConfigVersion, std::string>> Texts;
+    std::map<RouteKey, VersionTakenBack> TakenBack;
+    std::vector<std::function<void(Ref<const RoutingView>)>> Handlers;
+    {
+      std::unique_lock<std::mutex> Lock(this->Mutex);
+      this->Changed.wait(Lock, [&] { return this->Stopping || this->ViewDue; });
+      this->Changed.wait_until(Lock, NotBefore, [&] { return this->Stopping; });
+      if (this->Stopping)
+        return;
+      this->ViewDue = false;
+      for (const std::string &Name : this->ChangedDocuments) {
+        const ConfigDocument &Document = this->Spread.documents().at(Name);
+        Texts[Name] = {Document.Version, Document.Text};
+      }
+      this->ChangedDocuments.clear();
+      TimePoint Now = steadyNow();
+      bool Joined = this->Members->joined() || this->Own.Seeds.empty() ||
+                    Now - this->StartedAt >= JoinWait;
+      Next->Ready = this->Spread.ready() && Joined;
+      Next->Version = this->Spread.version();
+      this->addNodes(*Next);
+      std::erase_if(this->LeavingSlots,
+                    [&](const auto &Item) { return Item.second <= Now; });
+      for (const auto &[Slot, Until] : this->LeavingSlots)
+        Next->LeavingSlots.insert(Slot);
+      TakenBack = this->TakenBack;
+      Handlers = this->ChangeHandlers;
+    }
+    this->parseChanged(Texts);
+    for (const auto &[Name, Document] : this->Parsed)
+      std::visit(
+          Overload{[](std::monostate) {},
+                   [&](const Rules &Value) { Next->Configuration = Value; },
+                   [&](const ServiceCatalog &Value) {
+                     Next->Services[Value.Name] = Value;
+                   },
+                   [&](const ShareTable &Value) {
+                     Next->Shares[Value.Domain] = Value;
+                   },
+                   [&](const GateTable &Value) { Next->Gates = Value; }},
+          Document);
+    for (const auto &[Route, Back] : TakenBack) {
+      auto Split = Next->Splits.find(Route);
+      if (Split != Next->Splits.end() && Split->second.Next == Back.Version)
+        Split->second.NextShare = 0;
+    }
+    this->View.publish(Next);
+    for (const auto &Handler : Handlers)
+      Handler(Next);
+    NotBefore = steadyNow() + PublishPeriod;
+  }
+}
+
+void ControlAgent::Impl::Core::acceptNotice(const Notice &News) {
+  std::visit(Overload{[](const SlotCold &) {},
+                      [&](const SlotLeaving &Body) {
+                        this->LeavingSlots[Body.Slot] =
+                            steadyNow() + LeavingSlotTime;
+                        this->requestView();
+                      },
+                      [](const RequestQuarantined &) {},
+                      [&](const VersionTakenBack &Body) {
+                        this->TakenBack[{Body.Service, Body.Route}] = Body;
+                        this->requestView();
+                      }},
+             News.Body);
+}
+
+void ControlAgent::Impl::Core::sendNotice(const Endpoint &To,
+                                          const std::string &Message,
+                                          unsigned TriesLeft) {
+  Ref<Core> Keep(this);
+  this->Peers.call(
+      To, "/v1/notice", Message, NoticeTimeout, [](std::string) {},
+      [Keep, To, Message, TriesLeft](Code Result, bool) {
+        if (Result == Code::Ok || TriesLeft <= 1)
+          return;
+        Keep->Peers.after(NoticePause, [Keep, To, Message, TriesLeft] {
+          Keep->sendNotice(To, Message, TriesLeft - 1);
+        });
+      });
+}
+
+ControlAgent::ControlAgent(const Settings &Own, ProcessRole Role,
+                           PeerClient &Peers)
+    : Implementation(std::make_unique<Impl>()) {
+  this->Implementation->Shared = makeRef<Impl::Core>(Own, Role, Peers);
+}
+
+ControlAgent::~ControlAgent() { this->stop(); }
+
+Expected<void> ControlAgent::start() {
+  return this->Implementation->Shared->start();
+}
+
+const RcuCell<RoutingView> &ControlAgent::view() const {
+  return this->Implementation->Shared->View;
+}
+
+PlatformClient &ControlAgent::platform() {
+  return this->Implementation->Shared->Platform;
+}
+
+void ControlAgent::onChange(
+    std::function<void(Ref<const RoutingView>)> Handler) {
+  Impl::Core &Shared = *this->Implementation->Shared;
+  std::lock_guard<std::mutex> Lock(Shared.Mutex);
+  Shared.ChangeHandlers.push_back(std::move(Handler));
+}
+
+void ControlAgent::onNotice(std::function<void(const Notice &)> Handler) {
+  Impl::Core &Shared = *this->Implementation->Shared;
+  std::lock_guard<std::mutex> Lock(Shared.Mutex);
+  Shared.NoticeHandlers.push_back(std::move(Handler));
+}
+
+void ControlAgent::notify(const decltype(Notice::Body) &Body) {
+  Impl::Core &Shared = *this->Implementation->Shared;
+  Notice News{Shared.Own.Node, Body};
+  std::string Message = encode(News);
+  std::vector<Endpoint> Receivers;
+  {
+    std::lock_guard<std::mutex> Lock(Shared.Mutex);
+    if (!Shared.Members)
+      return;
+    Shared.acceptNotice(News);
+    bool All = std::holds_alternative<VersionTakenBack>(Body);
+    for (const auto &[Key, Who] : Shared.Members->members())
+      if (isPresent(Who.State) && (All || Who.Info.Domain == Shared.Own.Domain))
+        Receivers.push_back(Who.Info.Peer);
+  }
+  for (const Endpoint &To : Receivers)
+    Shared.sendNotice(To, Message, NoticeTries);
+}
+
+Expected<std::string> ControlAgent::handle(const std::string &Path,
+                                           const std::string &Message) {
+  Ref<Impl::Core> Shared = this->Implementation->Shared;
+  if (Path == "/v1/config") {
+    Expected<ConfigFetch> Question = decode<ConfigFetch>(Message);
+    if (!Question)
+      return tl::unexpected(Question.error());
+    ConfigDelta Answer;
+    {
+      std::lock_guard<std::mutex> Lock(Shared->Mutex);
+      Answer = Shared->Spread.answer(*Question);
+    }
+    return encode(Answer);
+  }
+  if (Path == "/v1/notice") {
+    Expected<Notice> News = decode<Notice>(Message);
+    if (!News)
+      return tl::unexpected(News.error());
+    asio::post(Shared->Io, [Core = Shared.get(), News = std::move(*News)] {
+      std::vector<std::function<void(const Notice &)>> Handlers;
+      {
+        std::lock_guard<std::mutex> Lock(Core->Mutex);
+        Core->acceptNotice(News);
+        Handlers = Core->NoticeHandlers;
+      }
+      for (const auto &Handler : Handlers)
+        Handler(News);
+    });
+    return std::string();
+  }
+  return fail(Code::UnknownPath, "no control path '" + Path + "'");
+}
+
+void ControlAgent::leave() {
+  Impl::Core *Shared = this->Implementation->Shared.get();
+  asio::post(Shared->Io, [Shared] {
+    std::lock_guard<std::mutex> Lock(Shared->Mutex);
+    Shared->feed(MembershipEvent(LeaveRequested{}));
+  });
+}
+
+void ControlAgent::stop() { this->Implementation->Shared->stop(); }
+
+} // namespace balsamyard
--- a/tests/CodecTest.cpp
+++ b/tests/CodecTest.cpp
@@ -89,7 +89,7 @@
                                 "{}"}));
     CHECK(survives(
         WriteReply{{"id"}, Code::Replayed, Outcome::Ran, {"v1"}, "{}"}));
-    CHECK(survives(ConfigFetch{ConfigVersion(12)}));
+    CHECK(survives(ConfigFetch{ConfigVersion(12), {"rules"}}));
     CHECK(survives(ConfigDelta{ConfigVersion(13),
                                {{"rules",
                                  ConfigVersion(12),
