--- a/apps/standin-deployment/DeploymentFiles.cpp
+++ b/apps/standin-deployment/DeploymentFiles.cpp
@@ -181,7 +181,7 @@
   for (const auto &[Domain, Text] : TargetsOfDomain) {
     const auto Path = Root / ("targets-" + Domain + ".toml");
     writeFile(Path, Text);
-    Processes += "targets-" + Domain + " standin-target --settings " +
+    Processes += "targets-" + Domain + " standin-target --config " +
                  Path.string() + "\n";
   }
   for (const DeployedNode &Node : From.Nodes)
