--- a/scripts/sanitize.sh
+++ b/scripts/sanitize.sh
@@ -36,6 +36,6 @@
 fi
 if [ "$WHAT" != address ]; then
   build build-tsan thread
-  export TSAN_OPTIONS="halt_on_error=1 suppressions=$PWD/scripts/tsan-suppressions.txt"
+  export TSAN_OPTIONS=halt_on_error=1
   build-tsan/balsamyard-tests "${EXCLUDED[@]}"
 fi
