--- /dev/null
+++ b/tests/ReplayTest.cpp
@@ -0,0 +1,321 @@
+#include "balsamyard/src/Process/Replay.h"
+
+#include <catch2/catch.hpp>
+#include <sstream>
+
+using namespace balsamyard;
+using namespace std::chrono_literals;
+
+namespace {
+
+std::vector<std::uint32_t> faultLines(const std::string &Trace) {
+  std::istringstream Lines(Trace);
+  auto Parsed = parseTrace(Lines);
+  std::vector<std::uint32_t> Numbers;
+  if (!Parsed)
+    for (const ReplayFileFault &Fault : Parsed.error())
+      Numbers.push_back(Fault.Line);
+  return Numbers;
+}
+
+using Numbers = std::vector<std::uint32_t>;
+
+const std::string Search =
+    R"({"at_ms":5,"kind":"search","service":"portal","route":"find","id":"r-1","deadline_ms":160,"body":{"text":"x"}})"
+    "\n";
+
+/// A line like Search with one member replaced.
+std::string searchWith(const std::string &Old, const std::string &New) {
+  std::string Line = Search;
+  std::size_t At = Line.find(Old);
+  REQUIRE(At != std::string::npos);
+  return Line.replace(At, Old.size(), New);
+}
+
+ReplayRequest asked(bool IsWrite = false) {
+  ReplayRequest Request;
+  Request.IsWrite = IsWrite;
+  Request.Service.Text = "portal";
+  Request.Route.Text = "find";
+  Request.Id.Text = "r-1";
+  Request.Deadline = 100ms;
+  return Request;
+}
+
+/// A whole answer to asked() from two shards.
+const std::string Whole =
+    R"({"code":1000,"name":"ok","request":"r-1","outcome":"ran","snapshot":7,"version":"v1",)"
+    R"("coverage":{"share":1.0,"weight":20,"of":20,"shards_answered":2,"shards_asked":2,"missing":[]},)"
+    R"("rows":[{"id":"0-0","snapshot":7},{"id":"1-0","snapshot":7}]})";
+
+/// Whole with one part replaced.
+std::string wholeWith(const std::string &Old, const std::string &New) {
+  std::string Answer = Whole;
+  std::size_t At = Answer.find(Old);
+  REQUIRE(At != std::string::npos);
+  return Answer.replace(At, Old.size(), New);
+}
+
+std::string wrong(const std::string &Answer) {
+  return judgeAnswer(asked(), Answer).Wrong;
+}
+
+ReplayResult result(ReplayEnd End, Duration Latency, double Coverage = 1) {
+  ReplayResult Made;
+  Made.End = End;
+  Made.Latency = Latency;
+  Made.Coverage = Coverage;
+  Made.InTime = End != ReplayEnd::Lost;
+  return Made;
+}
+
+ReplayResult write(const std::string &Id, ReplayEnd End,
+                   const std::string &Outcome) {
+  ReplayResult Made = result(End, 1ms);
+  Made.IsWrite = true;
+  Made.Id.Text = Id;
+  Made.Outcome = Outcome;
+  return Made;
+}
+
+} // namespace
+
+// Guards against a trace that is replayed differently from what it says.
+TEST_CASE("a recorded trace is read", "[replay]") {
+  SECTION("every kind of event is understood") {
+    std::istringstream Lines(
+        Search +
+        R"({"at_ms":6,"kind":"write","service":"permits","route":"file","id":"w-1","deadline_ms":2000,"body":{"record":"a"},"repeatable":true})"
+        "\n\n"
+        R"({"at_ms":7,"kind":"fault","url":"http://127.0.0.1:8001/fault","body":{"kind":"crash"}})"
+        "\n"
+        R"({"at_ms":8,"kind":"rules","body":"drain domain=east  # asked by ops\n"})");
+    auto Trace = parseTrace(Lines);
+    REQUIRE(Trace);
+    REQUIRE(Trace->size() == 4);
+    CHECK(Trace->at(0).At == 5ms);
+    const auto &Found = std::get<ReplayRequest>(Trace->at(0).Body);
+    CHECK_FALSE(Found.IsWrite);
+    CHECK(Found.Service.Text == "portal");
+    CHECK(Found.Route.Text == "find");
+    CHECK(Found.Id.Text == "r-1");
+    CHECK(Found.Deadline == 160ms);
+    CHECK(Found.Body == R"({"text":"x"})");
+    CHECK_FALSE(Found.Repeatable);
+    const auto &Written = std::get<ReplayRequest>(Trace->at(1).Body);
+    CHECK(Written.IsWrite);
+    CHECK(Written.Repeatable == true);
+    const auto &Crash = std::get<ReplayFault>(Trace->at(2).Body);
+    CHECK(Crash.To == Endpoint{"127.0.0.1", 8001});
+    CHECK(Crash.Path == "/fault");
+    CHECK(Trace->at(2).Line == 4);
+    CHECK(std::get<ReplayRules>(Trace->at(3).Body).Text.starts_with("drain"));
+  }
+
+  SECTION("every bad line is reported with its number") {
+    CHECK(faultLines("no json\n" + Search + "[]\n") == Numbers{1, 3});
+    CHECK(faultLines(searchWith("\"at_ms\":5", "\"at_ms\":-1")) == Numbers{1});
+    CHECK(faultLines(searchWith("\"at_ms\":5", "\"at_ms\":0.5")) == Numbers{1});
+    CHECK(faultLines(searchWith("\"at_ms\":5,", "")) == Numbers{1});
+    CHECK(faultLines(searchWith("search", "browse")) == Numbers{1});
+    CHECK(faultLines(searchWith("portal", "por/tal")) == Numbers{1});
+    CHECK(faultLines(searchWith("r-1", "r 1")) == Numbers{1});
+    CHECK(faultLines(searchWith("r-1", "")) == Numbers{1});
+    CHECK(faultLines(searchWith("160", "0")) == Numbers{1});
+    CHECK(faultLines(searchWith("{\"text\":\"x\"}", "7")) == Numbers{1});
+    CHECK(faultLines(searchWith("\"id\"", "\"ID\"")) == Numbers{1});
+    CHECK(faultLines(searchWith("\"body\"", "\"coverage\":2,\"body\"")) ==
+          Numbers{1});
+    for (const char *Url : {"127.0.0.1:80/x", "http://127.0.0.1/x",
+                            "http://127.0.0.1:80", "http://127.0.0.1:99999/x"})
+      CHECK(faultLines(R"({"at_ms":7,"kind":"fault","url":")" +
+                       std::string(Url) + R"(","body":{}})") == Numbers{1});
+  }
+
+  SECTION("time must not run backwards") {
+    CHECK(faultLines(Search + searchWith("\"at_ms\":5", "\"at_ms\":4")) ==
+          Numbers{2});
+  }
+
+  SECTION("an empty trace proves nothing") {
+    CHECK(faultLines("\n").size() == 1);
+  }
+}
+
+// Guards against a run that passes because a bound was misread.
+TEST_CASE("the stated outcomes are read", "[replay]") {
+  SECTION("as bounds of figures") {
+    auto Bounds = parseExpectations(
+        R"({"queries":{"min":10},"p99_ms":{"max":160.5},"wrong":{"min":0,"max":0}})");
+    REQUIRE(Bounds);
+    REQUIRE(Bounds->size() == 3);
+    auto Checks =
+        compare(*Bounds, {{"queries", 10}, {"p99_ms", 161}, {"wrong", 0}});
+    std::map<std::string, bool> Met;
+    for (const ReplayCheck &Check : Checks)
+      Met[Check.Bound.Figure] = Check.Met;
+    CHECK(Met["queries"]);
+    CHECK_FALSE(Met["p99_ms"]);
+    CHECK(Met["wrong"]);
+  }
+
+  SECTION("a figure that the run does not have is not met") {
+    CHECK_FALSE(compare({{"queries", 0.0, {}}}, {})[0].Met);
+  }
+
+  SECTION("and faults are reported with their lines") {
+    auto Lines = [](const char *Json) {
+      Numbers Result;
+      auto Bounds = parseExpectations(Json);
+      if (!Bounds)
+        for (const ReplayFileFault &Fault : Bounds.error())
+          Result.push_back(Fault.Line);
+      return Result;
+    };
+    CHECK(Lines("{\n\"p99\":\n{\"max\":1}}") == Numbers{2});
+    CHECK(Lines("{\n\n\"p99_ms\":{\"most\":1}}") == Numbers{3});
+    CHECK(Lines("{\"p99_ms\":{}}") == Numbers{1});
+    CHECK(Lines("{\"p99_ms\":5}") == Numbers{1});
+    CHECK(Lines("{\"p99_ms\":{\"max\":\"1\"}}") == Numbers{1});
+    CHECK(Lines("{\n") == Numbers{2});
+    CHECK(Lines("[]") == Numbers{1});
+  }
+}
+
+// Guards against an answer that is counted as good although it is not one to
+// this request, or states more than it holds.
+TEST_CASE("each answer is judged by its own request", "[replay]") {
+  SECTION("a whole answer is accepted") {
+    ReplayResult Judged = judgeAnswer(asked(), Whole);
+    CHECK(Judged.Wrong.empty());
+    CHECK(Judged.End == ReplayEnd::Whole);
+    CHECK(Judged.Coverage == 1);
+    CHECK(Judged.ResultCode == 1000);
+  }
+
+  SECTION("a partial answer is accepted if it says so") {
+    std::string Partial =
+        R"({"code":1001,"request":"r-1","outcome":"ran","snapshot":7,)"
+        R"("coverage":{"share":0.5,"shards_answered":1,"shards_asked":2,"missing":[1]},)"
+        R"("rows":[{"id":"0-0","snapshot":7}]})";
+    ReplayResult Judged = judgeAnswer(asked(), Partial);
+    CHECK(Judged.Wrong.empty());
+    CHECK(Judged.End == ReplayEnd::Partial);
+    CHECK(Judged.Coverage == 0.5);
+    // The same rows from the shard that is reported missing.
+    CHECK_FALSE(wrong(Partial.replace(Partial.find("0-0"), 3, "1-0")).empty());
+  }
+
+  SECTION("a refusal keeps its code and outcome") {
+    ReplayResult Judged = judgeAnswer(
+        asked(),
+        R"({"code":3001,"name":"overloaded","request":"r-1","outcome":"not_run"})");
+    CHECK(Judged.Wrong.empty());
+    CHECK(Judged.End == ReplayEnd::Refused);
+    CHECK(Judged.Outcome == "not_run");
+  }
+
+  SECTION("wrong answers are found") {
+    CHECK_FALSE(wrong("").empty());
+    CHECK_FALSE(wrong("[]").empty());
+    CHECK_FALSE(wrong(wholeWith("r-1", "r-2")).empty());
+    CHECK_FALSE(wrong(wholeWith("1000", "1001")).empty());
+    CHECK_FALSE(wrong(wholeWith("1000", "1234")).empty());
+    CHECK_FALSE(wrong(wholeWith("\"ran\"", "\"unknown\"")).empty());
+    CHECK_FALSE(wrong(wholeWith("\"ran\"", "\"done\"")).empty());
+    CHECK_FALSE(wrong(wholeWith("1.0", "0.9")).empty());
+    CHECK_FALSE(wrong(wholeWith("\"share\"", "\"part\"")).empty());
+    CHECK_FALSE(wrong(wholeWith("\"missing\":[]", "\"missing\":[3]")).empty());
+    CHECK_FALSE(wrong(wholeWith("answered\":2", "answered\":1")).empty());
+    CHECK_FALSE(wrong(wholeWith("\"1-0\"", "\"0-0\"")).empty());
+    CHECK_FALSE(
+        wrong(wholeWith("\"0-0\",\"snapshot\":7", "\"0-0\",\"snapshot\":6"))
+            .empty());
+    CHECK_FALSE(wrong(wholeWith("\"id\":\"0-0\"",
+                                "\"service\":\"permits\",\"id\":\"0-0\""))
+                    .empty());
+    CHECK_FALSE(
+        wrong(wholeWith("\"rows\":[", "\"rows\":[{\"id\":\"2-0\"},")).empty());
+  }
+
+  SECTION("a write tells how often it was executed") {
+    ReplayResult Judged = judgeAnswer(
+        asked(true),
+        R"({"code":1000,"request":"r-1","outcome":"ran","result":{"stored":2}})");
+    CHECK(Judged.Wrong.empty());
+    CHECK(Judged.Executions == 2);
+  }
+}
+
+// Guards against figures that look better than the run was.
+TEST_CASE("a run is summed up", "[replay]") {
+  SECTION("ends, coverage and percentiles") {
+    std::vector<ReplayResult> Results;
+    for (int Index = 1; Index <= 998; ++Index)
+      Results.push_back(
+          result(ReplayEnd::Whole, std::chrono::milliseconds(Index)));
+    Results.push_back(result(ReplayEnd::Partial, 999ms, 0.5));
+    Results.push_back(result(ReplayEnd::Whole, 1000ms));
+    Results.push_back(result(ReplayEnd::Refused, 1ms));
+    Results.push_back(result(ReplayEnd::Lost, 5s));
+    ReplayFigures Figures = sumUp(Results, {});
+    CHECK(Figures["queries"] == 1002);
+    CHECK(Figures["whole"] == 999);
+    CHECK(Figures["partial"] == 1);
+    CHECK(Figures["refused"] == 1);
+    CHECK(Figures["lost"] == 1);
+    CHECK(Figures["p50_ms"] == 500);
+    CHECK(Figures["p99_ms"] == 990);
+    CHECK(Figures["p999_ms"] == 999);
+    CHECK(Figures["coverage_mean"] == Approx(0.9995));
+    CHECK(Figures["coverage_min"] == 0.5);
+    CHECK(Figures["whole_share"] == Approx(999.0 / 1002));
+    CHECK(Figures["within_deadline"] == Approx(1001.0 / 1002));
+  }
+
+  SECTION("a run without requests has no percentiles") {
+    CHECK(sumUp({}, {})["p99_ms"] == 0);
+  }
+
+  SECTION("a write that ran twice is a duplicate") {
+    std::vector<ReplayResult> Results = {
+        write("a", ReplayEnd::Whole, "ran"),
+        write("b", ReplayEnd::Lost, ""),
+    };
+    CHECK(sumUp(Results, {{"a", 1}, {"b", 1}})["duplicates"] == 0);
+    CHECK(sumUp(Results, {{"a", 1}, {"b", 3}})["duplicates"] == 2);
+
+    SECTION("unless it may be repeated") {
+      Results[1].Repeatable = true;
+      CHECK(sumUp(Results, {{"a", 1}, {"b", 3}})["duplicates"] == 0);
+    }
+    SECTION("also if only its answer tells") {
+      Results[0].Executions = 2;
+      CHECK(sumUp(Results, {})["duplicates"] == 1);
+    }
+  }
+
+  SECTION("a refusal \"not run\" of a write that ran is false") {
+    std::vector<ReplayResult> Results = {
+        write("a", ReplayEnd::Refused, "not_run"),
+        write("b", ReplayEnd::Refused, "unknown"),
+    };
+    CHECK(sumUp(Results, {{"b", 1}})["false_refusals"] == 0);
+    CHECK(sumUp(Results, {{"a", 1}})["false_refusals"] == 1);
+    Results.push_back(write("a", ReplayEnd::Whole, "ran"));
+    CHECK(sumUp(Results, {})["false_refusals"] == 1);
+  }
+}
+
+// Guards against ids that the write gates refuse, or that differ between runs
+// with one seed.
+TEST_CASE("recorded ids are replaced by fresh ones", "[replay]") {
+  WallTime Now(std::chrono::milliseconds(0x0190ABCDEF01));
+  RequestId First = freshRequestId({"r-1"}, 7, Now);
+  CHECK(First.Text.substr(0, 15) == "0190abcd-ef01-7");
+  CHECK(First.Text.size() == 36);
+  CHECK(std::string("89ab").find(First.Text[19]) != std::string::npos);
+  CHECK(First == freshRequestId({"r-1"}, 7, Now));
+  CHECK(First != freshRequestId({"r-2"}, 7, Now));
+  CHECK(First != freshRequestId({"r-1"}, 8, Now));
+}
