--- a/balsamyard/src/Connection/SlotStats.cpp
+++ b/balsamyard/src/Connection/SlotStats.cpp
@@ -23,16 +23,30 @@
 void SlotStats::observe(Duration Latency, TimePoint Now) {
   const std::int64_t Former = this->latency(Now).count();
   const std::int64_t Sample = std::max<std::int64_t>(Latency.count(), 1);
-  const std::int64_t Next =
-      Former == 0 ? Sample : Former + (Sample - Former) / AverageDivisor;
-  this->AverageMicros.store(std::max<std::int64_t>(Next, 1),
-                            std::memory_order_relaxed);
+  const std::int64_t Idle =
+      toMicros(Now) - this->ObservedAtMicros.load(std::memory_order_relaxed);
+  // An average that has been halved for lack of observations says little, so
+  // the first answers after a pause weigh more.
+  std::int64_t Divisor = AverageDivisor;
+  if (Former == 0 || Idle >= 3 * HalfLife.count())
+    Divisor = 1;
+  else if (Idle >= HalfLife.count())
+    Divisor = 2;
+  this->AverageMicros.store(
+      std::max<std::int64_t>(Former + (Sample - Former) / Divisor, 1),
+      std::memory_order_relaxed);
   this->ObservedAtMicros.store(toMicros(Now), std::memory_order_relaxed);
 }
 
-void SlotStats::observeAtLeast(Duration Age, TimePoint Now) {
+void SlotStats::observeFailure(TimePoint Now) {
+  this->observe(std::clamp(FailureFactor * this->latency(Now), MinFailureTime,
+                           MaxFailureTime),
+                Now);
+}
+
+void SlotStats::observeUnanswered(Duration Age, TimePoint Now) {
   if (Age > this->latency(Now))
-    this->observe(Age, Now);
+    this->observeFailure(Now);
 }
 
 Duration SlotStats::latency(TimePoint Now) const {
--- a/balsamyard/src/Connection/SlotStats.h
+++ b/balsamyard/src/Connection/SlotStats.h
@@ -21,9 +21,14 @@
   /// recovered straggler is tried again.
   static constexpr Duration HalfLife = std::chrono::seconds(2);
 
-  /// \brief Counted for a failed request, so that a slot that fails at once
-  /// does not attract more requests than a healthy one.
-  static constexpr Duration FailurePenalty = std::chrono::seconds(1);
+  /// \brief A failure counts as an answer this many times slower than usual,
+  /// so that a slot that fails at once does not attract requests. Repeated
+  /// failures double the average each time; a single one is soon forgotten.
+  static constexpr std::int64_t FailureFactor = 8;
+
+  /// \brief Bounds of the time that a failure counts as.
+  static constexpr Duration MinFailureTime = std::chrono::milliseconds(10);
+  static constexpr Duration MaxFailureTime = std::chrono::seconds(1);
 
   void started() { this->InFlight.fetch_add(1, std::memory_order_relaxed); }
   void ended() { this->InFlight.fetch_sub(1, std::memory_order_relaxed); }
@@ -31,12 +36,12 @@
   /// \brief Adds an answer time to the moving average.
   void observe(Duration Latency, TimePoint Now);
 
-  /// \brief Adds a failure to the moving average. \sa FailurePenalty
-  void observeFailure(TimePoint Now) { this->observe(FailurePenalty, Now); }
+  /// \brief Adds a failure to the moving average. \sa FailureFactor
+  void observeFailure(TimePoint Now);
 
-  /// \brief Adds the age of a request that was given up. It raises the average
-  /// but never lowers it, because the true answer time is longer.
-  void observeAtLeast(Duration Age, TimePoint Now);
+  /// \brief A request was given up at \p Age without an answer. Counts as a
+  /// failure if the slot usually answers sooner.
+  void observeUnanswered(Duration Age, TimePoint Now);
 
   /// \returns the average latency, halved for each HalfLife without an
   /// observation; 0 if the slot was never observed.
--- a/balsamyard/src/Request/HedgePolicy.h
+++ b/balsamyard/src/Request/HedgePolicy.h
@@ -32,8 +32,9 @@
     return Started + 2 * this->Delay;
   }
 
-  /// \returns when late leaves are looked for again. The interval is at least a
-  /// sixteenth of the whole time, which bounds the work per query.
+  /// \returns when late leaves are looked for next: once and twice the delay
+  /// after the start, later at intervals of at least a sixteenth of the whole
+  /// time, which bounds the work per query.
   TimePoint nextCheck(TimePoint Started, TimePoint Deadline,
                       TimePoint Now) const;
 };
--- a/balsamyard/src/Request/Query.cpp
+++ b/balsamyard/src/Request/Query.cpp
@@ -287,7 +287,7 @@
   if (blamesSlot(Result))
     Slot.Stats->observeFailure(Now);
   else if (Result == Code::DeadlineExceeded || Result == Code::DeadlineExpired)
-    Slot.Stats->observeAtLeast(Now - Failed.Sent, Now);
+    Slot.Stats->observeUnanswered(Now - Failed.Sent, Now);
   this->closeAttempt(Leaf, Failed);
   LeafProgress &Progress = this->Leaves[Leaf];
   if (Result == Code::Quarantined) {
@@ -360,7 +360,7 @@
       continue;
     this->MayHaveRun = true;
     this->OnlyOverload = false;
-    this->Routes.Slots[Superseded.Slot].Stats->observeAtLeast(
+    this->Routes.Slots[Superseded.Slot].Stats->observeUnanswered(
         Now - Superseded.Sent, Now);
     this->closeAttempt(Leaf, Superseded);
     Batch &Whole = this->Batches[Superseded.Batch];
