--- a/balsamyard/src/Connection/SlotLimiter.cpp
+++ b/balsamyard/src/Connection/SlotLimiter.cpp
@@ -5,7 +5,7 @@
 
 namespace balsamyard {
 
-std::uint32_t laneShare(std::uint32_t Limit, const LaneSet &Lanes) {
+std::uint32_t laneShare(std::uint32_t Limit, const OwnedLanes &Lanes) {
   std::uint32_t Sum = 0;
   for (std::uint32_t Lane : Lanes.Owned)
     Sum += laneShare(Limit, Lanes.Count, Lane);
--- a/balsamyard/src/Connection/SlotLimiter.h
+++ b/balsamyard/src/Connection/SlotLimiter.h
@@ -12,11 +12,11 @@
 namespace balsamyard {
 
 /// \brief Numbers of the lanes of one leaf group that a node owns.
-struct LaneSet {
+struct OwnedLanes {
   std::vector<std::uint32_t> Owned;
   std::uint32_t Count = 0; ///< Lanes of the group, owned by any node.
 
-  bool operator==(const LaneSet &) const = default;
+  bool operator==(const OwnedLanes &) const = default;
 };
 
 /// \returns the part of \p Limit that lane \p Lane of \p Count may use. The
@@ -30,7 +30,7 @@
 }
 
 /// \returns the sum of the parts of all lanes in \p Lanes.
-std::uint32_t laneShare(std::uint32_t Limit, const LaneSet &Lanes);
+std::uint32_t laneShare(std::uint32_t Limit, const OwnedLanes &Lanes);
 
 /// \brief What a node may do at one slot.
 struct SlotShare {
--- a/balsamyard/src/Connection/SlotRunner.cpp
+++ b/balsamyard/src/Connection/SlotRunner.cpp
@@ -97,16 +97,27 @@
       return;
     this->apply(ShareChanged{Share, LaneTaken}, Later);
     this->Client.setLimit(Share.Connections);
-    if (Share.Connections == 0) {
+    if (Share.Connections == 0)
       this->endQueued(Code::NotOwner, Later);
-      for (SlotTask &Task : this->Running)
-        Task.Call.cancel();
-    }
     this->dispatch(Later);
   }
   this->carryOut(std::move(Later));
 }
 
+bool SlotRunner::waitForShare(TimePoint Deadline) {
+  std::unique_lock<std::mutex> Lock(this->Mutex);
+  return this->Closed.wait_until(Lock, Deadline, [this] {
+    return this->Client.open() <= this->Limiter.share().Connections;
+  });
+}
+
+void SlotRunner::cut() {
+  std::lock_guard<std::mutex> Lock(this->Mutex);
+  if (this->Client.open() > this->Limiter.share().Connections)
+    for (SlotTask &Task : this->Running)
+      Task.Call.cancel();
+}
+
 void SlotRunner::notice(const SlotEvent &Event) {
   Deferred Later;
   {
@@ -301,6 +312,7 @@
     Last = Ref<SlotTask>(Task.get(), false);
     const bool AllLost =
         Lease.Connection && this->Client.giveBack(Lease, Exchange);
+    this->Closed.notify_all();
     if (Decoded.Result == Code::Ok)
       this->MeanTime += (Exchange.Time - this->MeanTime) / 16;
     this->apply(eventOf(Decoded.Result, Decoded.Facts, Ticket, Exchange.Time),
@@ -368,6 +380,7 @@
     bool AllLost = Lease.AllLost;
     if (Lease.Connection)
       AllLost |= this->Client.giveBack(Lease, Exchange);
+    this->Closed.notify_all();
     if (AllLost)
       this->apply(ConnectionsLost{}, Later);
     if (Facts)
--- a/balsamyard/src/Connection/SlotRunner.h
+++ b/balsamyard/src/Connection/SlotRunner.h
@@ -5,6 +5,7 @@
 #include "balsamyard/src/Core/Messages.h"
 
 #include <boost/intrusive/list.hpp>
+#include <condition_variable>
 #include <functional>
 #include <memory>
 #include <mutex>
@@ -97,10 +98,18 @@
   /// \brief Takes a request in or refuses it at once; never blocks.
   void submit(Ref<SlotTask> Task);
 
-  /// \brief Sets the share of the slot. A share of 0 connections ends all
-  /// requests.
+  /// \brief Sets the share of the slot. Without a share no request is taken in;
+  /// running ones go on until they end or cut() is called.
   void setShare(SlotShare Share, bool LaneTaken);
 
+  /// \brief Waits until no more connections are open than the share permits.
+  /// \returns false if that was not so by \p Deadline.
+  bool waitForShare(TimePoint Deadline);
+
+  /// \brief Cancels running requests if more connections are open than the
+  /// share permits.
+  void cut();
+
   /// \brief Takes in what another process saw.
   void notice(const SlotEvent &Event);
 
@@ -147,6 +156,7 @@
   const SlotObserver &Observer;
 
   mutable std::mutex Mutex;
+  std::condition_variable Closed;
   SlotLimiter Limiter;
   TargetClient Client;
   TaskList Queue;   ///< Each entry holds one reference.
