--- a/apps/balsamyard-entry/CallerServer.h
+++ b/apps/balsamyard-entry/CallerServer.h
@@ -17,11 +17,13 @@
   /// \brief Binds the address and serves on threads of its own.
   Expected<void> start();
 
-  /// \brief Accepts no more connections, serves those that are open or wait
-  /// for a thread, and stops. Call after EntryState::Stopping was set for a
-  /// while, because callers close their connections since then.
-  /// \returns false if a request was still running at \p Until.
-  bool finish(TimePoint Until);
+  /// \brief Accepts no more connections; those that are open or wait for a
+  /// thread are served. Call after EntryState::Stopping was set for a while,
+  /// because callers close their connections since then.
+  void drain();
+
+  /// \returns whether every connection was served after drain().
+  bool drained() const { return this->Ended.load(std::memory_order_acquire); }
 
 private:
   void addRoutes();
@@ -40,9 +42,7 @@
   std::atomic<CallerPool *> Pool{nullptr}; ///< Owned by Server.
   int ListenSocket = -1;
   std::thread Listener;
-  std::mutex EndMutex;
-  std::condition_variable EndChanged;
-  bool Ended = false; ///< The listener and all caller threads have ended.
+  std::atomic<bool> Ended{false}; ///< Listener and caller threads ended.
 };
 
 } // namespace balsamyard::entry
--- a/balsamyard/src/Version/ServiceIndex.h
+++ b/balsamyard/src/Version/ServiceIndex.h
@@ -27,7 +27,7 @@
 
 /// \brief Alive owners of the lanes of one leaf group in one failure domain, as
 /// a range of VersionRoutes::LaneHolders.
-struct LaneSet {
+struct LaneOwners {
   std::uint32_t First = 0;
   std::uint32_t Count = 0;
 };
@@ -36,7 +36,7 @@
 struct SlotRoute {
   SlotIndex Slot = 0;
   Nearness Distance = Nearness::Elsewhere;
-  std::uint32_t Lanes = 0; ///< Position in ServiceIndex::LaneSets.
+  std::uint32_t Lanes = 0; ///< Position in ServiceIndex::OwnerSets.
   Ref<SlotStats> Stats;
 };
 
@@ -78,7 +78,7 @@
   std::vector<ShardRoute> Shards; ///< Ascending within each leaf.
   std::uint64_t TotalWeight = 0;
   std::vector<HolderRoute> Holders;
-  std::vector<LaneSet> LaneSets;
+  std::vector<LaneOwners> OwnerSets;
   std::vector<std::uint32_t> LaneHolders; ///< Positions in Holders.
   std::vector<VersionRoutes> Versions;
   Ref<ServiceStats> Stats;
