Keep lanes and write gates at the platform

Cause: a target's connection limit holds only if no two processes use one lane, whatever their views, lost answers, restarts and cut-offs. Ruled out: as many lanes as nodes (owners that know different numbers exceed the limit together; there are always 4, and a node may own several); resuming a lane after a read that shows the old owner (the lost update may take effect later); reading the VM list on each node all the time (100 KB at target size; it is read only while the owner of a unit is missing). A starting process that owns a part rewrites the table first. LaneKey moves to Version/ShareTable.h.

--- a/apps/standin-platform/PlatformStandIn.h
+++ b/apps/standin-platform/PlatformStandIn.h
@@ -40,7 +40,7 @@
   /// \brief Ends the waiting watches.
   void stop();
 
-  void setVms(nlohmann::json List);
+  void setVms(const nlohmann::json &List);
 
 private:
   struct Object {
@@ -269,7 +269,7 @@
   Answer.set_content("{}", "application/json");
 }
 
-inline void PlatformStandIn::setVms(nlohmann::json List) {
+inline void PlatformStandIn::setVms(const nlohmann::json &List) {
   std::lock_guard<std::mutex> Lock(this->Mutex);
   this->Vms = List.dump();
 }
@@ -331,7 +331,7 @@
     nlohmann::json List = nlohmann::json::parse(Call.body, nullptr, false);
     if (!List.is_object() || !List.contains("vms"))
       return refuse(Answer, 400, "expected {\"vms\":[..]}");
-    this->setVms(std::move(List));
+    this->setVms(List);
   });
   Server.Post("/fault", [this](const Request &Call, Response &Answer) {
     this->setFault(Call, Answer);
--- a/balsamyard/src/Connection/Lane.h
+++ b/balsamyard/src/Connection/Lane.h
@@ -20,14 +20,6 @@
 SlotShare shareOf(const CatalogSlot &Slot, const LaneSet &Lanes,
                   double RuleShare);
 
-/// \brief One lane of a leaf group.
-struct LaneKey {
-  GroupKey Group;
-  std::uint32_t Lane = 0;
-
-  auto operator<=>(const LaneKey &) const = default;
-};
-
 /// \brief The node may use the lane from now on; its slots start cold.
 struct LaneTaken {
   LaneKey Lane;
--- /dev/null
+++ b/balsamyard/src/Process/ShareKeeper.cpp
@@ -0,0 +1,344 @@
+#include "balsamyard/src/Process/ShareKeeper.h"
+
+#include <algorithm>
+#include <condition_variable>
+#include <mutex>
+#include <thread>
+
+namespace balsamyard {
+
+namespace {
+
+/// Time between two looks at the view without a wake().
+constexpr Duration TickPause = std::chrono::seconds(1);
+
+/// Time between two attempts to give everything away.
+constexpr Duration LeavePause = std::chrono::milliseconds(200);
+
+/// Time between two reads of the VM list while an owner is missing.
+constexpr Duration VmPause = std::chrono::seconds(5);
+
+/// Time between two updates that only even out the ownership.
+constexpr Duration MovePause = std::chrono::seconds(2);
+
+/// Nodes take care of units of others one after the other, so that a lost node
+/// does not cause one update by each of the others.
+constexpr Duration RankPause = std::chrono::milliseconds(500);
+constexpr std::size_t MaxRank = 15;
+
+/// A timer that fires this late shows that the process was paused.
+constexpr Duration MaxLateness = std::chrono::seconds(2);
+
+ShareTable emptyTable(const DomainName &Domain) {
+  ShareTable Table;
+  Table.Domain = Domain;
+  return Table;
+}
+
+} // namespace
+
+struct ShareKeeper::Impl {
+  Impl(const Settings &Own, PlatformClient &Platform, ShareHandlers Handlers)
+      : Own(Own), Platform(Platform), Handlers(std::move(Handlers)),
+        Lanes(Own.Node, emptyTable(Own.Domain)), Gates(Own.Node, GateTable{}),
+        Owned(makeRef<const OwnedShares>()) {}
+
+  const Settings Own;
+  PlatformClient &Platform;
+  const ShareHandlers Handlers;
+
+  // Used by the thread of the keeper only.
+  LaneLedger Lanes;
+  GateLedger Gates;
+  std::map<NodeName, TimePoint> GoneSince;
+  TimePoint NextVmRead{};
+  struct Pace {
+    TimePoint NextMove{};
+    std::optional<TimePoint> NeededSince;
+  };
+  Pace LanePace;
+  Pace GatePace;
+
+  RcuCell<OwnedShares> Owned;
+
+  std::mutex Mutex;
+  std::condition_variable Woken;
+  std::condition_variable Empty;
+  bool Stopping = false;
+  bool Wanted = false;
+  bool Leaving = false;
+  bool GivenAway = false;
+  std::thread Thread;
+
+  void run();
+  void look(bool IsLeaving);
+  void learnFrom(const RoutingView &View);
+  void readVms(const std::set<NodeName> &Usable, TimePoint Now);
+  void publish();
+
+  template <typename Table, typename Unit, typename Plan, typename Stop>
+  void advance(ShareLedger<Table, Unit> &Ledger, Pace &Rate,
+               const std::string &Object,
+               Expected<Table> (*Parse)(std::string_view),
+               const ShareInputs &Inputs, Plan PlanStep, Stop StopUnits);
+
+  template <typename Table>
+  Expected<Table> read(const std::string &Object,
+                       Expected<Table> (*Parse)(std::string_view));
+  template <typename Step>
+  bool isDue(const Step &Planned, Pace &Rate, const std::string &Object,
+             const ShareInputs &Inputs) const;
+};
+
+void ShareKeeper::Impl::learnFrom(const RoutingView &View) {
+  auto Table = View.Shares.find(this->Own.Domain);
+  if (Table != View.Shares.end() && Table->second.Version > 0)
+    this->Lanes.learn(Table->second);
+  if (View.Gates.Version > 0)
+    this->Gates.learn(View.Gates);
+}
+
+void ShareKeeper::Impl::readVms(const std::set<NodeName> &Usable,
+                                TimePoint Now) {
+  std::set<NodeName> Missing;
+  if (this->Lanes.known())
+    Missing.merge(ownersOf(*this->Lanes.known()));
+  if (this->Gates.known())
+    Missing.merge(ownersOf(*this->Gates.known()));
+  std::erase_if(Missing, [&](const NodeName &Owner) {
+    return Owner == this->Own.Node || Usable.contains(Owner);
+  });
+  std::erase_if(this->GoneSince, [&](const auto &Entry) {
+    return !Missing.contains(Entry.first);
+  });
+  if (Missing.empty() || Now < this->NextVmRead)
+    return;
+  this->NextVmRead = Now + VmPause;
+  Expected<std::vector<PlatformVm>> Vms = this->Platform.vms();
+  if (!Vms)
+    return;
+  std::set<NodeName> Listed;
+  for (const PlatformVm &Vm : *Vms)
+    Listed.insert(Vm.Node);
+  // A list without this very VM is wrong, so it proves nothing about others.
+  if (!Listed.contains(this->Own.Node))
+    return;
+  for (const NodeName &Owner : Missing) {
+    if (Listed.contains(Owner))
+      this->GoneSince.erase(Owner);
+    else
+      this->GoneSince.emplace(Owner, Now);
+  }
+}
+
+void ShareKeeper::Impl::publish() {
+  auto Next = makeRef<OwnedShares>();
+  Next->Lanes = this->Lanes.usable();
+  Next->Gates = this->Gates.usable();
+  if (this->Lanes.known())
+    Next->Shares = *this->Lanes.known();
+  for (const LaneKey &Lane : ownedBy(Next->Shares, this->Own.Node))
+    if (!Next->Lanes.contains(Lane))
+      Next->Shares.Lanes[Lane.Group][Lane.Lane] = {};
+  if (this->Gates.known())
+    Next->Writers = *this->Gates.known();
+  for (std::size_t Gate : ownedBy(Next->Writers, this->Own.Node))
+    if (!Next->Gates.contains(Gate))
+      Next->Writers.Gates[Gate].Node = {};
+  Ref<const OwnedShares> Former = this->Owned.read();
+  if (Former->Lanes == Next->Lanes && Former->Gates == Next->Gates &&
+      Former->Shares.Version == Next->Shares.Version &&
+      Former->Writers.Version == Next->Writers.Version)
+    return;
+  this->Owned.publish(Next);
+  if (this->Handlers.Changed)
+    this->Handlers.Changed(Next);
+}
+
+template <typename Table>
+Expected<Table>
+ShareKeeper::Impl::read(const std::string &Object,
+                        Expected<Table> (*Parse)(std::string_view)) {
+  Expected<PlatformObject> Read = this->Platform.get(Object);
+  if (!Read)
+    return tl::unexpected<Error>(Read.error());
+  Expected<Table> Parsed = Parse(Read->Value);
+  if (Parsed)
+    Parsed->Version = Read->Version;
+  return Parsed;
+}
+
+template <typename Step>
+bool ShareKeeper::Impl::isDue(const Step &Planned, Pace &Rate,
+                              const std::string &Object,
+                              const ShareInputs &Inputs) const {
+  if (!Planned.Changed)
+    Rate.NeededSince.reset();
+  if (!Planned.Changed || Inputs.Leaving)
+    return Planned.Changed;
+  if (!Rate.NeededSince)
+    Rate.NeededSince = Inputs.Now;
+  std::size_t Rank = Planned.Given.empty()
+                         ? rankFor(this->Own.Node, Inputs.Usable, Object)
+                         : 0;
+  return Inputs.Now >= Rate.NextMove &&
+         Inputs.Now - *Rate.NeededSince >= RankPause * std::min(Rank, MaxRank);
+}
+
+template <typename Table, typename Unit, typename Plan, typename Stop>
+void ShareKeeper::Impl::advance(ShareLedger<Table, Unit> &Ledger, Pace &Rate,
+                                const std::string &Object,
+                                Expected<Table> (*Parse)(std::string_view),
+                                const ShareInputs &Inputs, Plan PlanStep,
+                                Stop StopUnits) {
+  using Write = ShareWrite<Table, Unit>;
+  auto PlanDue = [&](const Table &Base) {
+    ShareStep<Table, Unit> Planned = PlanStep(Base, Inputs);
+    Planned.Changed = this->isDue(Planned, Rate, Object, Inputs);
+    return Planned;
+  };
+  // At most a read, a rewrite and a change in one look.
+  for (int Call = 0; Call < 3; ++Call) {
+    auto Action = Ledger.next(PlanDue);
+    if (std::holds_alternative<ShareIdle>(Action))
+      return;
+    if (std::holds_alternative<ShareRead>(Action)) {
+      Ledger.readDone(this->read(Object, Parse));
+      if (std::holds_alternative<ShareRead>(Ledger.next(PlanDue)))
+        return;
+      continue;
+    }
+    Write &Update = std::get<Write>(Action);
+    if (!Update.Moved.empty())
+      Rate.NextMove = Inputs.Now + MovePause;
+    if (!Update.Given.empty()) {
+      Ledger.begin(Update);
+      this->publish();
+      StopUnits(Update.Given);
+    }
+    if constexpr (std::is_same_v<Table, GateTable>) {
+      // The new owner refuses ids that were issued before the former one ended.
+      for (std::size_t Gate : Update.Moved)
+        Update.Next.Gates[Gate].Since = wallNow();
+    }
+    Ledger.writeDone(Update,
+                     Update.IfVersion
+                         ? this->Platform.update(Object, toJson(Update.Next),
+                                                 Update.IfVersion)
+                         : this->Platform.create(Object, toJson(Update.Next)));
+    this->publish();
+  }
+}
+
+void ShareKeeper::Impl::look(bool IsLeaving) {
+  Ref<const RoutingView> View = this->Handlers.View();
+  this->learnFrom(*View);
+  // Without the catalogs every group would look unwanted.
+  if (!View->Ready && !IsLeaving)
+    return;
+  ShareInputs Inputs;
+  Inputs.Self = this->Own.Node;
+  Inputs.Leaving = IsLeaving;
+  Inputs.Now = steadyNow();
+  Inputs.Wall = wallNow();
+  std::set<NodeName> Near;
+  for (const auto &[Name, Node] : View->Nodes) {
+    if (!Node.Alive || Node.Leaving || Name == this->Own.Node)
+      continue;
+    Inputs.Usable.insert(Name);
+    if (Node.Domain == this->Own.Domain)
+      Near.insert(Name);
+  }
+  this->readVms(Inputs.Usable, Inputs.Now);
+  Inputs.GoneSince = this->GoneSince;
+
+  ShareInputs NearInputs = Inputs;
+  NearInputs.Usable = std::move(Near);
+  this->advance<ShareTable, LaneKey>(
+      this->Lanes, this->LanePace, "shared/shares/" + this->Own.Domain.Text,
+      &parseShareTable, NearInputs,
+      [&](const ShareTable &Base, const ShareInputs &With) {
+        return planShares(Base, View->Services, With);
+      },
+      [this](const std::vector<LaneKey> &Given) {
+        if (this->Handlers.StopLanes)
+          this->Handlers.StopLanes(Given);
+      });
+  this->publish();
+  this->advance<GateTable, std::size_t>(
+      this->Gates, this->GatePace, "shared/gates", &parseGateTable, Inputs,
+      [](const GateTable &Base, const ShareInputs &With) {
+        return planGates(Base, With);
+      },
+      [this](const std::vector<std::size_t> &Given) {
+        if (this->Handlers.StopGates)
+          this->Handlers.StopGates(Given);
+      });
+  this->publish();
+}
+
+void ShareKeeper::Impl::run() {
+  std::unique_lock<std::mutex> Lock(this->Mutex);
+  while (!this->Stopping) {
+    bool IsLeaving = this->Leaving;
+    this->Wanted = false;
+    Lock.unlock();
+    this->look(IsLeaving);
+    bool None = this->Lanes.ownsNothing() && this->Gates.ownsNothing();
+    Lock.lock();
+    if (IsLeaving && None) {
+      this->GivenAway = true;
+      this->Empty.notify_all();
+    }
+    TimePoint Due = steadyNow() + (IsLeaving && !None ? LeavePause : TickPause);
+    this->Woken.wait_until(Lock, Due,
+                           [this] { return this->Stopping || this->Wanted; });
+    if (steadyNow() - Due > MaxLateness)
+      this->Gates.distrust();
+  }
+}
+
+ShareKeeper::ShareKeeper(const Settings &Own, PlatformClient &Platform,
+                         ShareHandlers Handlers)
+    : Implementation(
+          std::make_unique<Impl>(Own, Platform, std::move(Handlers))) {}
+
+ShareKeeper::~ShareKeeper() { this->stop(); }
+
+void ShareKeeper::start() {
+  this->Implementation->Thread =
+      std::thread([Keeper = this->Implementation.get()] { Keeper->run(); });
+}
+
+void ShareKeeper::wake() {
+  std::lock_guard<std::mutex> Lock(this->Implementation->Mutex);
+  this->Implementation->Wanted = true;
+  this->Implementation->Woken.notify_all();
+}
+
+const RcuCell<OwnedShares> &ShareKeeper::owned() const {
+  return this->Implementation->Owned;
+}
+
+bool ShareKeeper::giveAwayAll(Duration Limit) {
+  std::unique_lock<std::mutex> Lock(this->Implementation->Mutex);
+  this->Implementation->Leaving = true;
+  this->Implementation->Wanted = true;
+  this->Implementation->Woken.notify_all();
+  return this->Implementation->Empty.wait_for(Lock, Limit, [this] {
+    return this->Implementation->GivenAway || this->Implementation->Stopping;
+  }) && this->Implementation->GivenAway;
+}
+
+void ShareKeeper::stop() {
+  {
+    std::lock_guard<std::mutex> Lock(this->Implementation->Mutex);
+    this->Implementation->Stopping = true;
+    this->Implementation->Woken.notify_all();
+    this->Implementation->Empty.notify_all();
+  }
+  if (this->Implementation->Thread.joinable())
+    this->Implementation->Thread.join();
+}
+
+} // namespace balsamyard
--- a/balsamyard/src/Version/ShareTable.h
+++ b/balsamyard/src/Version/ShareTable.h
@@ -29,6 +29,14 @@
   auto operator<=>(const GroupKey &) const = default;
 };
 
+/// \brief One lane of a leaf group.
+struct LaneKey {
+  GroupKey Group;
+  std::uint32_t Lane = 0;
+
+  auto operator<=>(const LaneKey &) const = default;
+};
+
 /// \returns the group that holds \p Leaf.
 inline GroupKey groupOf(const ServiceName &Service, LeafIndex Leaf) {
   return {Service, Leaf / LeafGroupSize};
--- a/tests/PlatformClientTest.cpp
+++ b/tests/PlatformClientTest.cpp
@@ -217,10 +217,11 @@
         R"("holder":"127.0.0.1:7000"})";
     Body = R"({"vms":[)" + Vm + "]}";
     CHECK(Client.vms()->size() == 1);
-    for (std::string Bad : {Vm + "," + Vm, std::string("{}"),
-                            std::string(R"({"node":"e1","state":"dead",)"
-                                        R"("domain":"e","region":"n",)"
-                                        R"("holder":"127.0.0.1:7000"})")}) {
+    const std::string Twice = Vm + "," + Vm;
+    for (const std::string &Bad :
+         {Twice, std::string("{}"),
+          std::string(R"({"node":"e1","state":"dead","domain":"e",)"
+                      R"("region":"n","holder":"127.0.0.1:7000"})")}) {
       Body = R"({"vms":[)" + Bad + "]}";
       CHECK(Client.vms().error().Value == Code::PlatformMalformed);
     }
