--- a/balsamyard/src/Process/ShareKeeper.cpp
+++ b/balsamyard/src/Process/ShareKeeper.cpp
@@ -29,12 +29,26 @@
 /// A timer that fires this late shows that the process was paused.
 constexpr Duration MaxLateness = std::chrono::seconds(2);
 
+<<<<<<< HEAD
+=======
+ShareTable emptyTable(const DomainName &Domain) {
+  ShareTable Table;
+  Table.Domain = Domain;
+  return Table;
+}
+
+>>>>>>> version
 } // namespace
 
 struct ShareKeeper::Impl {
   Impl(const Settings &Own, PlatformClient &Platform, ShareHandlers Handlers)
       : Own(Own), Platform(Platform), Handlers(std::move(Handlers)),
+<<<<<<< HEAD
         Lanes(Own.Node), Gates(Own.Node), Owned(makeRef<const OwnedShares>()) {}
+=======
+        Lanes(Own.Node, emptyTable(Own.Domain)), Gates(Own.Node, GateTable{}),
+        Owned(makeRef<const OwnedShares>()) {}
+>>>>>>> version
 
   const Settings Own;
   PlatformClient &Platform;
@@ -71,9 +85,22 @@
 
   template <typename Table, typename Unit, typename Plan, typename Stop>
   void advance(ShareLedger<Table, Unit> &Ledger, Pace &Rate,
+<<<<<<< HEAD
                const std::string &Object, const Table &First,
                Expected<Table> (*Parse)(std::string_view),
                const ShareInputs &Inputs, Plan PlanStep, Stop StopUnits);
+=======
+               const std::string &Object,
+               Expected<Table> (*Parse)(std::string_view),
+               const ShareInputs &Inputs, Plan PlanStep, Stop StopUnits);
+
+  template <typename Table>
+  Expected<Table> read(const std::string &Object,
+                       Expected<Table> (*Parse)(std::string_view));
+  template <typename Step>
+  bool isDue(const Step &Planned, Pace &Rate, const std::string &Object,
+             const ShareInputs &Inputs) const;
+>>>>>>> version
 };
 
 void ShareKeeper::Impl::learnFrom(const RoutingView &View) {
@@ -121,17 +148,35 @@
   auto Next = makeRef<OwnedShares>();
   Next->Lanes = this->Lanes.usable();
   Next->Gates = this->Gates.usable();
+<<<<<<< HEAD
   if (this->Gates.known())
     Next->Table = *this->Gates.known();
   Ref<const OwnedShares> Former = this->Owned.read();
   if (Former->Lanes == Next->Lanes && Former->Gates == Next->Gates &&
       Former->Table.Version == Next->Table.Version)
+=======
+  if (this->Lanes.known())
+    Next->Shares = *this->Lanes.known();
+  for (const LaneKey &Lane : ownedBy(Next->Shares, this->Own.Node))
+    if (!Next->Lanes.contains(Lane))
+      Next->Shares.Lanes[Lane.Group][Lane.Lane] = {};
+  if (this->Gates.known())
+    Next->Writers = *this->Gates.known();
+  for (std::size_t Gate : ownedBy(Next->Writers, this->Own.Node))
+    if (!Next->Gates.contains(Gate))
+      Next->Writers.Gates[Gate].Node = {};
+  Ref<const OwnedShares> Former = this->Owned.read();
+  if (Former->Lanes == Next->Lanes && Former->Gates == Next->Gates &&
+      Former->Shares.Version == Next->Shares.Version &&
+      Former->Writers.Version == Next->Writers.Version)
+>>>>>>> version
     return;
   this->Owned.publish(Next);
   if (this->Handlers.Changed)
     this->Handlers.Changed(Next);
 }
 
+<<<<<<< HEAD
 template <typename Table, typename Unit, typename Plan, typename Stop>
 void ShareKeeper::Impl::advance(ShareLedger<Table, Unit> &Ledger, Pace &Rate,
                                 const std::string &Object, const Table &First,
@@ -205,6 +250,80 @@
     Ledger.refused();
   } else {
     Ledger.unclear();
+=======
+template <typename Table>
+Expected<Table>
+ShareKeeper::Impl::read(const std::string &Object,
+                        Expected<Table> (*Parse)(std::string_view)) {
+  Expected<PlatformObject> Read = this->Platform.get(Object);
+  if (!Read)
+    return tl::unexpected<Error>(Read.error());
+  Expected<Table> Parsed = Parse(Read->Value);
+  if (Parsed)
+    Parsed->Version = Read->Version;
+  return Parsed;
+}
+
+template <typename Step>
+bool ShareKeeper::Impl::isDue(const Step &Planned, Pace &Rate,
+                              const std::string &Object,
+                              const ShareInputs &Inputs) const {
+  if (!Planned.Changed)
+    Rate.NeededSince.reset();
+  if (!Planned.Changed || Inputs.Leaving)
+    return Planned.Changed;
+  if (!Rate.NeededSince)
+    Rate.NeededSince = Inputs.Now;
+  std::size_t Rank = Planned.Given.empty()
+                         ? rankFor(this->Own.Node, Inputs.Usable, Object)
+                         : 0;
+  return Inputs.Now >= Rate.NextMove &&
+         Inputs.Now - *Rate.NeededSince >= RankPause * std::min(Rank, MaxRank);
+}
+
+template <typename Table, typename Unit, typename Plan, typename Stop>
+void ShareKeeper::Impl::advance(ShareLedger<Table, Unit> &Ledger, Pace &Rate,
+                                const std::string &Object,
+                                Expected<Table> (*Parse)(std::string_view),
+                                const ShareInputs &Inputs, Plan PlanStep,
+                                Stop StopUnits) {
+  using Write = ShareWrite<Table, Unit>;
+  auto PlanDue = [&](const Table &Base) {
+    ShareStep<Table, Unit> Planned = PlanStep(Base, Inputs);
+    Planned.Changed = this->isDue(Planned, Rate, Object, Inputs);
+    return Planned;
+  };
+  // At most a read, a rewrite and a change in one look.
+  for (int Call = 0; Call < 3; ++Call) {
+    auto Action = Ledger.next(PlanDue);
+    if (std::holds_alternative<ShareIdle>(Action))
+      return;
+    if (std::holds_alternative<ShareRead>(Action)) {
+      Ledger.readDone(this->read(Object, Parse));
+      if (std::holds_alternative<ShareRead>(Ledger.next(PlanDue)))
+        return;
+      continue;
+    }
+    Write &Update = std::get<Write>(Action);
+    if (!Update.Moved.empty())
+      Rate.NextMove = Inputs.Now + MovePause;
+    if (!Update.Given.empty()) {
+      Ledger.begin(Update);
+      this->publish();
+      StopUnits(Update.Given);
+    }
+    if constexpr (std::is_same_v<Table, GateTable>) {
+      // The new owner refuses ids that were issued before the former one ended.
+      for (std::size_t Gate : Update.Moved)
+        Update.Next.Gates[Gate].Since = wallNow();
+    }
+    Ledger.writeDone(Update,
+                     Update.IfVersion
+                         ? this->Platform.update(Object, toJson(Update.Next),
+                                                 Update.IfVersion)
+                         : this->Platform.create(Object, toJson(Update.Next)));
+    this->publish();
+>>>>>>> version
   }
 }
 
@@ -232,11 +351,17 @@
 
   ShareInputs NearInputs = Inputs;
   NearInputs.Usable = std::move(Near);
+<<<<<<< HEAD
   ShareTable First;
   First.Domain = this->Own.Domain;
   this->advance<ShareTable, LaneKey>(
       this->Lanes, this->LanePace, "shared/shares/" + this->Own.Domain.Text,
       First, &parseShareTable, NearInputs,
+=======
+  this->advance<ShareTable, LaneKey>(
+      this->Lanes, this->LanePace, "shared/shares/" + this->Own.Domain.Text,
+      &parseShareTable, NearInputs,
+>>>>>>> version
       [&](const ShareTable &Base, const ShareInputs &With) {
         return planShares(Base, View->Services, With);
       },
@@ -246,8 +371,12 @@
       });
   this->publish();
   this->advance<GateTable, std::size_t>(
+<<<<<<< HEAD
       this->Gates, this->GatePace, "shared/gates", GateTable{}, &parseGateTable,
       Inputs,
+=======
+      this->Gates, this->GatePace, "shared/gates", &parseGateTable, Inputs,
+>>>>>>> version
       [](const GateTable &Base, const ShareInputs &With) {
         return planGates(Base, With);
       },
@@ -265,11 +394,15 @@
     this->Wanted = false;
     Lock.unlock();
     this->look(IsLeaving);
+<<<<<<< HEAD
     bool None = !this->Lanes.mustRead() && !this->Gates.mustRead() &&
                 (!this->Lanes.known() ||
                  ownedBy(*this->Lanes.known(), this->Own.Node).empty()) &&
                 (!this->Gates.known() ||
                  ownedBy(*this->Gates.known(), this->Own.Node).empty());
+=======
+    bool None = this->Lanes.ownsNothing() && this->Gates.ownsNothing();
+>>>>>>> version
     Lock.lock();
     if (IsLeaving && None) {
       this->GivenAway = true;
