--- a/tests/SharePlanTest.cpp
+++ b/tests/SharePlanTest.cpp
@@ -1,5 +1,5 @@
 #include "balsamyard/src/Version/SharePlan.h"
-#include "balsamyard/src/Connection/Lane.h"
+#include "balsamyard/src/Connection/SlotLimiter.h"
 
 #include <algorithm>
 #include <boost/random/mersenne_twister.hpp>
@@ -419,10 +419,9 @@
       for (const LaneKey &Lane : Node.Ledger->usable()) {
         ++Users[Lane];
         // What the process opens at a slot of the group; the slot counts them.
-        LaneSet Owned;
-        Owned.Count = MaxLaneCount;
-        Owned.Owned = {Lane.Lane};
-        Connections[Lane.Group] += laneShare(ConnectionLimit, Owned);
+        Connections[Lane.Group] +=
+            laneShare(ConnectionLimit, static_cast<std::uint32_t>(MaxLaneCount),
+                      Lane.Lane);
       }
     }
     for (const auto &[Lane, Count] : Users)
