--- a/balsamyard/src/Version/SharePlan.h
+++ b/balsamyard/src/Version/SharePlan.h
@@ -21,14 +21,6 @@
 /// placed. Keeps the number of slots that turn cold at once small.
 inline constexpr std::size_t MaxMovesPerWrite = 32;
 
-/// \brief One lane of a leaf group.
-struct LaneKey {
-  GroupKey Group;
-  std::size_t Lane = 0;
-
-  auto operator<=>(const LaneKey &) const = default;
-};
-
 /// \brief What a process knows when it plans a change of ownership.
 struct ShareInputs {
   NodeName Self;
@@ -76,21 +68,42 @@
 std::size_t rankFor(const NodeName &Self, const std::set<NodeName> &Nodes,
                     const std::string &Subject);
 
+/// \brief Nothing to do at the platform.
+struct ShareIdle {};
+
+/// \brief Read the object, then call ShareLedger::readDone.
+struct ShareRead {};
+
+/// \brief Stop using Given, then replace the object if its version is still
+/// IfVersion (0: create it), then call ShareLedger::writeDone.
+template <typename Table, typename Unit> struct ShareWrite {
+  Table Next;
+  std::uint64_t IfVersion = 0;
+  std::vector<Unit> Given;
+  std::vector<Unit> Moved;
+};
+
 /// \brief What one process may use of a table, whatever becomes of its updates.
 ///
 /// Pure: the caller reads and writes the object and reports the results.
 ///
 /// - An update without a clear answer may still take effect until the object
-///   has a newer version. Until then the units it gives away stay unused.
+///   has a newer version. Until then the units it gives away stay unused, and
+///   the table is written again.
 /// - An update of an earlier process on this node may be on its way too.
-///   Therefore a starting process first rewrites the table if it owns a part.
+///   Therefore a starting process that owns a part of the table first writes
+///   the table as it is, so that no older update can take effect.
 template <typename Table, typename Unit> class ShareLedger {
 public:
   using Step = ShareStep<Table, Unit>;
+  using Write = ShareWrite<Table, Unit>;
+  using Action = std::variant<ShareIdle, ShareRead, Write>;
 
-  explicit ShareLedger(NodeName Self) : Self(std::move(Self)) {}
+  /// \param First is the table to start from if the object does not exist.
+  ShareLedger(NodeName Self, Table First)
+      : Self(std::move(Self)), First(std::move(First)) {}
 
-  /// \brief Learns a table from the platform or from another node.
+  /// \brief Learns a table that came from the platform by any way.
   void learn(const Table &Newer) {
     if (this->Known && Newer.Version <= this->Known->Version)
       return;
@@ -106,44 +119,53 @@
     this->ReadOnce = false;
   }
 
-  /// \brief Learns a table that the platform answered to a read.
-  void learnRead(const Table &Read) {
-    this->learn(Read);
-    this->ReadOnce = true;
-    this->Distrusted = false;
-    if (!this->Fenced && ownedBy(*this->Known, this->Self).empty())
-      this->Fenced = true;
+  /// \returns what to do next. \p Plan maps a table to a Step.
+  template <typename Plan> Action next(Plan PlanStep) const {
+    if (!this->ReadOnce)
+      return ShareRead{};
+    if (this->Known && (this->Unclear || !this->Fenced))
+      return Write{*this->Known, this->Known->Version, {}, {}};
+    Step Planned = PlanStep(this->Known ? *this->Known : this->First);
+    if (!Planned.Changed)
+      return ShareIdle{};
+    return Write{std::move(Planned.Next),
+                 this->Known ? this->Known->Version : 0,
+                 std::move(Planned.Given), std::move(Planned.Moved)};
   }
 
-  /// \brief The object does not exist yet.
-  void learnAbsent() { this->ReadOnce = true; }
-
-  /// \brief Begins an update: \p Given stays unused until a newer version.
-  void begin(const std::vector<Unit> &Given) {
-    this->Stopped.insert(Given.begin(), Given.end());
+  /// \brief Begins an update: what it gives away is unused from now on.
+  void begin(const Write &Update) {
+    if (this->Known && this->Known->Version == Update.IfVersion)
+      this->Stopped.insert(Update.Given.begin(), Update.Given.end());
   }
 
-  /// \brief The update was accepted.
-  void accepted(const Table &Written) {
-    this->Fenced = true;
-    this->learn(Written);
+  /// \brief Reports a read; ObjectAbsent means that there is no table yet.
+  void readDone(const Expected<Table> &Read) {
+    if (!Read && Read.error().Value != Code::ObjectAbsent)
+      return;
+    this->ReadOnce = true;
+    this->Distrusted = false;
+    if (Read)
+      this->learn(*Read);
+    // Without a part of the table there is nothing to protect.
+    if (!this->Known || ownedBy(*this->Known, this->Self).empty())
+      this->Fenced = true;
   }
 
-  /// \brief Another update came first.
-  void refused() { this->ReadOnce = false; }
-
-  /// \brief The update got no answer and may take effect later.
-  void unclear() {
-    this->Unclear = true;
+  /// \brief Reports an update with its new version, PlatformConflict, or any
+  /// other error if it may take effect later.
+  void writeDone(const Write &Update, const Expected<std::uint64_t> &Result) {
+    if (Result) {
+      this->Fenced = true;
+      Table Written = Update.Next;
+      Written.Version = *Result;
+      this->learn(Written);
+      return;
+    }
     this->ReadOnce = false;
-  }
-
-  bool mustRead() const { return !this->ReadOnce; }
-
-  /// \returns whether the table must be rewritten as it is, so that an older
-  /// update can no longer take effect.
-  bool mustRewrite() const {
-    return this->ReadOnce && this->Known && (this->Unclear || !this->Fenced);
+    if (Result.error().Value != Code::PlatformConflict && this->Known &&
+        this->Known->Version == Update.IfVersion)
+      this->Unclear = true;
   }
 
   const std::optional<Table> &known() const { return this->Known; }
@@ -158,8 +180,15 @@
     return Result;
   }
 
+  /// \returns whether a table without any unit of this process is confirmed.
+  bool ownsNothing() const {
+    return this->ReadOnce &&
+           (!this->Known || ownedBy(*this->Known, this->Self).empty());
+  }
+
 private:
   NodeName Self;
+  Table First;
   std::optional<Table> Known;
   std::set<Unit> Stopped;
   bool ReadOnce = false;
