Fuzz the decoders of documents, answers, gossip and logs

Cause: only the message codec had a mutation test. Ruled out: fuzzing the platform's answers through HTTP (100,000 exchanges per decoder); its two decoders are declared in PlatformClient.h instead. A number out of range in JSON (1e999) was thrown past parseJson and parseExpectations and ended the process; both report it now, with tests.

--- a/balsamyard/src/Process/PlatformClient.cpp
+++ b/balsamyard/src/Process/PlatformClient.cpp
@@ -75,8 +75,10 @@
   return Version;
 }
 
-Expected<PlatformListing> parseListing(const std::string &Text) {
-  Expected<Json> Document = internal::parseJson(Text);
+} // namespace
+
+Expected<PlatformListing> internal::parseListing(const std::string &Text) {
+  Expected<Json> Document = parseJson(Text);
   if (!Document)
     return tl::unexpected<Error>(Document.error());
   JsonFaults Faults;
@@ -97,8 +99,8 @@
   return Listing;
 }
 
-Expected<std::vector<PlatformVm>> parseVms(const std::string &Text) {
-  Expected<Json> Document = internal::parseJson(Text);
+Expected<std::vector<PlatformVm>> internal::parseVms(const std::string &Text) {
+  Expected<Json> Document = parseJson(Text);
   if (!Document)
     return tl::unexpected<Error>(Document.error());
   JsonFaults Faults;
@@ -116,8 +118,7 @@
       if (State != "live" && State != "leaving")
         Faults.report("vms.state", "expected live or leaving");
       Vm.Leaving = State == "leaving";
-      Expected<Endpoint> Holder =
-          internal::parseEndpoint(Object.text("holder"));
+      Expected<Endpoint> Holder = parseEndpoint(Object.text("holder"));
       if (Holder)
         Vm.Holder = *Holder;
       else
@@ -132,8 +133,6 @@
   return Vms;
 }
 
-} // namespace
-
 struct PlatformClient::Impl {
   Endpoint Platform;
   Duration Timeout;
@@ -301,7 +300,7 @@
     return tl::unexpected<Error>(Answer.error());
   if (Answer->status != 200)
     return tl::unexpected<Error>(errorOf(Answer->status, Path));
-  return parseListing(Answer->body);
+  return internal::parseListing(Answer->body);
 }
 
 Expected<PlatformListing> PlatformClient::watch(const std::string &Prefix,
@@ -314,7 +313,7 @@
     return tl::unexpected<Error>(Answer.error());
   if (Answer->status != 200)
     return tl::unexpected<Error>(errorOf(Answer->status, Path));
-  return parseListing(Answer->body);
+  return internal::parseListing(Answer->body);
 }
 
 Expected<std::vector<PlatformVm>> PlatformClient::vms() {
@@ -324,7 +323,7 @@
     return tl::unexpected<Error>(Answer.error());
   if (Answer->status != 200)
     return tl::unexpected<Error>(errorOf(Answer->status, "/vms"));
-  return parseVms(Answer->body);
+  return internal::parseVms(Answer->body);
 }
 
 void PlatformClient::stop() {
--- a/balsamyard/src/Process/PlatformClient.h
+++ b/balsamyard/src/Process/PlatformClient.h
@@ -86,4 +86,12 @@
   std::unique_ptr<Impl> Implementation;
 };
 
+namespace internal {
+
+/// \brief Decoders of the platform's answers to list() and vms().
+Expected<PlatformListing> parseListing(const std::string &Text);
+Expected<std::vector<PlatformVm>> parseVms(const std::string &Text);
+
+} // namespace internal
+
 } // namespace balsamyard
--- a/balsamyard/src/Process/Replay.cpp
+++ b/balsamyard/src/Process/Replay.cpp
@@ -360,6 +360,9 @@
   } catch (const json::parse_error &Fault) {
     Faults.push_back({lineOf(Json, Fault.byte), "not valid JSON"});
     return tl::unexpected(std::move(Faults));
+  } catch (const json::out_of_range &) {
+    Faults.push_back({0, "a number is out of range"});
+    return tl::unexpected(std::move(Faults));
   }
   if (!Object.is_object()) {
     Faults.push_back({1, "has to be an object of bounds"});
--- a/balsamyard/src/Version/internal/JsonObject.cpp
+++ b/balsamyard/src/Version/internal/JsonObject.cpp
@@ -25,6 +25,8 @@
   } catch (const Json::parse_error &Fault) {
     return fail(Code::PlatformMalformed,
                 "expected JSON, fault at byte " + std::to_string(Fault.byte));
+  } catch (const Json::out_of_range &) {
+    return fail(Code::PlatformMalformed, "expected numbers within range");
   }
 }
 
--- a/fuzz/Mutate.h
+++ b/fuzz/Mutate.h
@@ -85,6 +85,14 @@
   boost::random::mt19937 Random;
 };
 
+/// \returns \p Text with 500,000 copies of \p Level inserted at \p At.
+inline std::string nested(std::string Text, std::size_t At, const char *Level) {
+  std::string Levels;
+  for (std::size_t Count = 0; Count < 500000; ++Count)
+    Levels += Level;
+  return Text.insert(At, Levels);
+}
+
 /// \brief Runs \p Check on every mutated input and prints a line of counts.
 ///
 /// Check returns 1 if the input was accepted, 0 if it was refused, and -1 if
@@ -97,6 +105,14 @@
       std::printf("%s: a valid input was refused\n", Decoder);
       return false;
     }
+  // A decoder that recurses for each level would end the stack.
+  for (const char *Level : {"[", "{\"a\":", "\x81", "\xa1\x61", "a=[", "[["})
+    for (const std::string &Each : Valid)
+      for (std::size_t At : {std::size_t(0), Each.size() / 2, Each.size()})
+        if (Check(nested(Each, At, Level)) < 0) {
+          std::printf("%s: nested input breaks a promise\n", Decoder);
+          return false;
+        }
   Mutator Inputs(std::move(Valid));
   std::size_t Accepted = 0;
   std::size_t Broken = 0;
@@ -110,6 +126,7 @@
   std::printf("%-16s %zu inputs, %zu accepted, %zu refused, %zu broken\n",
               Decoder, InputCount, Accepted, InputCount - Accepted - Broken,
               Broken);
+  std::fflush(stdout);
   return Broken == 0;
 }
 
--- a/tests/CatalogTest.cpp
+++ b/tests/CatalogTest.cpp
@@ -42,6 +42,11 @@
 TEST_CASE("the catalog of a service is read strictly", "[catalog]") {
   const std::string Text = toJson(example());
 
+  SECTION("a number that no type can hold is a fault, not an exception") {
+    refuses(replaced(Text, "\"connection_limit\":100",
+                     "\"connection_limit\":1e999"),
+            "expected numbers within range");
+  }
   SECTION("what was written is read back") {
     Expected<ServiceCatalog> Read = parseCatalog(Text);
     REQUIRE(Read.has_value());
--- a/tests/ReplayTest.cpp
+++ b/tests/ReplayTest.cpp
@@ -179,6 +179,7 @@
     CHECK(Lines("{\"p99_ms\":{\"max\":\"1\"}}") == Numbers{1});
     CHECK(Lines("{\n") == Numbers{2});
     CHECK(Lines("[]") == Numbers{1});
+    CHECK(Lines("{\"p99_ms\":{\"max\":1e999}}") == Numbers{0});
   }
 }
 
