--- a/balsamyard/src/Request/ReplicaChoice.cpp
+++ b/balsamyard/src/Request/ReplicaChoice.cpp
@@ -26,7 +26,7 @@
 /// Cost factor of a slot that no reachable holder leads to.
 constexpr std::uint64_t UnreachableFactor = 1024;
 
-bool hasReachableHolder(const ServiceIndex &Index, const LaneSet &Lanes,
+bool hasReachableHolder(const ServiceIndex &Index, const LaneOwners &Lanes,
                         TimePoint Now) {
   for (std::uint32_t Lane = 0; Lane < Lanes.Count; ++Lane)
     if (!Index.Holders[Index.LaneHolders[Lanes.First + Lane]].Stats->avoided(
@@ -53,7 +53,7 @@
       std::max<std::int64_t>(Slot.Stats->latency(Now).count(), 1));
   std::uint64_t Cost =
       Latency * (Slot.Stats->inFlight() + 1) * distanceFactor(Slot.Distance);
-  if (!hasReachableHolder(Index, Index.LaneSets[Slot.Lanes], Now))
+  if (!hasReachableHolder(Index, Index.OwnerSets[Slot.Lanes], Now))
     Cost *= UnreachableFactor;
   return Cost;
 }
@@ -111,7 +111,7 @@
 }
 
 LaneChoice::LaneChoice(const ServiceIndex &Index)
-    : Index(Index), ChosenOf(Index.LaneSets.size(), None),
+    : Index(Index), ChosenOf(Index.OwnerSets.size(), None),
       InPlan(Index.Holders.size(), false) {}
 
 std::uint32_t LaneChoice::choose(std::uint32_t Lanes, TimePoint Now,
@@ -119,7 +119,7 @@
   std::uint32_t &Chosen = this->ChosenOf[Lanes];
   if (Chosen != None && !this->Index.Holders[Chosen].Stats->avoided(Now))
     return Chosen;
-  const LaneSet &Set = this->Index.LaneSets[Lanes];
+  const LaneOwners &Set = this->Index.OwnerSets[Lanes];
   assert(Set.Count > 0);
   std::uint32_t Reachable = 0;
   std::uint32_t Best = None;
