--- a/balsamyard/src/Process/ShareKeeper.h
+++ b/balsamyard/src/Process/ShareKeeper.h
@@ -18,10 +18,10 @@
   std::set<LaneKey> Lanes;
   std::set<std::size_t> Gates;
 
-  /// The newest tables. What is listed under this node but may not be used now
-  /// has no owner here.
+  /// The newest share table. Lanes that are listed under this node but may not
+  /// be used now have no owner here.
   ShareTable Shares;
-  GateTable Writers;
+  GateTable Table; ///< Tells since when the gates are owned.
 };
 
 /// \brief Connects a ShareKeeper to the process. All are called on the thread
