--- a/balsamyard/src/Process/GossipCodec.cpp
+++ b/balsamyard/src/Process/GossipCodec.cpp
@@ -163,8 +163,9 @@
 std::string encodeGossip(const GossipMessage &Message) {
   // Items are encoded one by one, because the number that fits is only known
   // from their sizes.
-  std::string Result = arrayHead(4) + toBytes(pack(Message.From)) +
+  std::string Result = arrayHead(5) + toBytes(pack(Message.From)) +
                        toBytes(static_cast<std::uint64_t>(Message.Config)) +
+                       toBytes(Message.Known) +
                        toBytes(std::visit(PackBody{}, Message.Body));
   std::string Updates;
   std::size_t Count = 0;
@@ -182,21 +183,23 @@
 Expected<GossipMessage> decodeGossip(std::string_view Bytes) {
   if (Bytes.size() > MaxGossipBytes)
     return fail(Code::MalformedMessage, "datagram too long");
-  json Value = json::from_cbor(Bytes.begin(), Bytes.end(), true, false);
-  if (Value.is_discarded())
-    return fail(Code::MalformedMessage, "not one CBOR item");
   try {
-    expectSize(Value, 4);
+    json Value = json::from_cbor(Bytes.begin(), Bytes.end());
+    expectSize(Value, 5);
     GossipMessage Result;
     Result.From = unpackUpdate(Value[0]);
     Result.Config =
         static_cast<ConfigVersion>(number(Value[1], MaxIncarnation));
-    Result.Body = unpackBody(Value[2]);
-    if (!Value[3].is_array() || Value[3].size() > MaxUpdates)
+    Result.Known = static_cast<std::uint32_t>(number(Value[2], UINT32_MAX));
+    Result.Body = unpackBody(Value[3]);
+    if (!Value[4].is_array() || Value[4].size() > MaxUpdates)
       throw Malformed{"wrong number of updates"};
-    for (const json &Update : Value[3])
+    for (const json &Update : Value[4])
       Result.Updates.push_back(unpackUpdate(Update));
     return Result;
+  } catch (const json::exception &Fault) {
+    // Thrown for an absurd array size even where exceptions are not wanted.
+    return fail(Code::MalformedMessage, Fault.what());
   } catch (const Malformed &Fault) {
     return fail(Code::MalformedMessage, Fault.Detail);
   }
--- a/balsamyard/src/Process/Membership.cpp
+++ b/balsamyard/src/Process/Membership.cpp
@@ -93,7 +93,6 @@
                },
                [&](const LeaveRequested &) {
                  this->Self.State = MemberState::Left;
-                 this->Rumours[this->Self.Who.Key] = {};
                  for (const Member *To : this->randomMembers(
                           this->Limits.Helpers, nullptr, Random))
                    this->send(To->Info.Gossip, Announce{}, &To->Info.Key, Out);
@@ -111,8 +110,10 @@
     Duration Missed = this->Times.Period;
     this->Health = std::min(this->Health + 1, this->Limits.MaxHealth);
     this->Running.reset();
-    for (auto &[Key, Deadline] : this->Suspicions)
-      Deadline = std::max(Deadline, Now + Missed);
+    for (auto &[Key, Case] : this->Suspicions) {
+      Case.AskAt = Now;
+      Case.DeadAt = std::max(Case.DeadAt, Now + Missed);
+    }
   }
   this->expire(Now, Out);
 
@@ -205,7 +206,7 @@
     bool Alone = this->Alive == 0;
     this->NextSeedProbe =
         Now + (Alone ? this->Times.Period : this->Times.SeedProbePeriod);
-    if (this->SyncDone || !Alone)
+    if (this->joined() || !Alone)
       this->send(this->Seeds[Random.below(this->Seeds.size())],
                  Ping{this->NextSequence++}, nullptr, Out);
   }
@@ -213,11 +214,12 @@
 
 void Membership::askForPage(TimePoint Now, Draws &Random, Effects &Out) {
   // A joining process asks again after each period without an answer.
+  bool Joining = this->Passes < this->Limits.JoinPasses;
   this->NextSync =
-      Now + (this->SyncDone ? this->Times.SyncPeriod : this->Times.Period);
+      Now + (Joining ? this->Times.Period : this->Times.SyncPeriod);
   std::vector<const Member *> Known = this->randomMembers(1, nullptr, Random);
   bool UseSeed = !this->Seeds.empty() &&
-                 (Known.empty() || (!this->SyncDone && Random.below(2) == 0));
+                 (Known.empty() || (!this->joined() && Random.below(2) == 0));
   if (!UseSeed && Known.empty())
     return;
   this->SyncSequence = this->NextSequence++;
@@ -231,9 +233,17 @@
 
 void Membership::expire(TimePoint Now, Effects &Out) {
   std::vector<ProcessKey> Due;
-  for (const auto &[Key, Deadline] : this->Suspicions)
-    if (Now >= Deadline)
+  for (auto &[Key, Case] : this->Suspicions) {
+    if (Now >= Case.DeadAt) {
       Due.push_back(Key);
+    } else if (Now >= Case.AskAt) {
+      // The refutation may have been lost; the ping tells the suspect that it
+      // is suspected, and its answer refutes.
+      Case.AskAt = Now + this->Times.Period;
+      const Member &Who = this->Members.at(Key);
+      this->send(Who.Info.Gossip, Ping{this->NextSequence++}, &Key, Out);
+    }
+  }
   for (const ProcessKey &Key : Due)
     this->setState(this->Members.at(Key), MemberState::Dead, Now, Out);
 
@@ -286,13 +296,14 @@
     Out.emplace_back(MemberHasConfig{Message.From.Who.Key,
                                      Message.From.Who.Peer, Message.Config});
 
-  std::visit(Overload{[&](const Ping &Body) { this->onPing(Body, Event, Out); },
-                      [&](const PingRequest &Body) {
-                        this->onPingRequest(Body, Event, Now, Out);
-                      },
-                      [&](const Ack &Body) { this->onAck(Body, Event, Out); },
-                      [&](const Announce &) {}},
-             Message.Body);
+  std::visit(
+      Overload{[&](const Ping &Body) { this->onPing(Body, Event, Out); },
+               [&](const PingRequest &Body) {
+                 this->onPingRequest(Body, Event, Now, Out);
+               },
+               [&](const Ack &Body) { this->onAck(Body, Event, Now, Out); },
+               [&](const Announce &) {}},
+      Message.Body);
 }
 
 void Membership::onPing(const Ping &Body, const GossipReceived &Event,
@@ -336,15 +347,18 @@
 }
 
 void Membership::onAck(const Ack &Body, const GossipReceived &Event,
-                       Effects &Out) {
+                       TimePoint Now, Effects &Out) {
   if (Body.Sync) {
     if (Body.Sequence != this->SyncSequence || this->SyncSequence == 0)
       return;
     this->SyncSequence = 0;
-    bool Joining = !this->SyncDone;
+    bool Joining = this->Passes < this->Limits.JoinPasses;
     if (Body.SyncLast) {
-      this->SyncDone = true;
+      ++this->Passes;
       this->SyncAfter.reset();
+      if (Joining)
+        this->NextSync =
+            Now + this->Times.JoinPause * (1 << (this->Passes - 1));
     } else if (!Event.Message.Updates.empty()) {
       this->SyncAfter = Event.Message.Updates.back().Who.Key;
     }
@@ -363,6 +377,16 @@
   }
   if (!this->Running || this->Running->Sequence != Body.Sequence)
     return;
+  if (Event.Message.Known <= this->Alive + 1)
+    this->Behind = 0;
+  else if (++this->Behind >= this->Limits.RepairAfter &&
+           Now >= this->NextRepair && this->Passes >= this->Limits.JoinPasses) {
+    this->Behind = 0;
+    this->NextRepair = Now + this->Times.RepairPeriod;
+    this->Passes = this->Limits.JoinPasses - 1;
+    this->SyncAfter.reset();
+    this->NextSync = Now;
+  }
   bool Direct = Event.Message.From.Who.Key == this->Running->Target;
   if (!Direct)
     this->Running->HelperAnswered = true;
@@ -416,7 +440,7 @@
                                     this->ProbeNext + Random.below(Rest + 1)),
                             Key);
     if (Update.State == MemberState::Suspect)
-      this->Suspicions[Key] = Now + this->suspicionTime();
+      this->suspect(Key, Now);
     if (PassOn)
       this->Rumours[Key] = 0;
     Out.emplace_back(MemberChanged{Found->second});
@@ -434,7 +458,7 @@
     return this->setState(Who, Update.State, Now, Out);
   this->Rumours[Key] = 0;
   if (Who.State == MemberState::Suspect)
-    this->Suspicions[Key] = Now + this->suspicionTime();
+    this->suspect(Key, Now);
   if (Moved)
     Out.emplace_back(MemberChanged{Who});
 }
@@ -446,7 +470,7 @@
   Who.State = State;
   Who.Since = Now;
   if (State == MemberState::Suspect)
-    this->Suspicions[Key] = Now + this->suspicionTime();
+    this->suspect(Key, Now);
   else
     this->Suspicions.erase(Key);
   if (WasPresent && !isPresent(State)) {
@@ -464,7 +488,11 @@
 }
 
 GossipMessage Membership::message(GossipBody Body) const {
-  return {this->Self, this->Config, std::move(Body), {}};
+  return {this->Self,
+          this->Config,
+          static_cast<std::uint32_t>(this->Alive + 1),
+          std::move(Body),
+          {}};
 }
 
 void Membership::send(const Endpoint &To, GossipBody Body,
@@ -538,11 +566,12 @@
   return Chosen;
 }
 
-Duration Membership::suspicionTime() const {
+void Membership::suspect(const ProcessKey &Who, TimePoint Now) {
   double Factor = std::max(1.0, std::log10(static_cast<double>(
                                     std::max<std::size_t>(this->Alive, 1))));
-  return std::chrono::duration_cast<Duration>(
+  auto Time = std::chrono::duration_cast<Duration>(
       std::chrono::duration<double>(this->Times.SuspicionUnit) * Factor);
+  this->Suspicions[Who] = {Now + Time / 2, Now + Time};
 }
 
 unsigned Membership::retransmissions() const {
--- a/balsamyard/src/Process/Membership.h
+++ b/balsamyard/src/Process/Membership.h
@@ -94,6 +94,7 @@
 struct GossipMessage {
   MemberUpdate From;
   ConfigVersion Config{};
+  std::uint32_t Known = 0; ///< Members that the sender takes for present.
   GossipBody Body;
   std::vector<MemberUpdate> Updates;
 
@@ -183,9 +184,17 @@
   Duration DeadProbePeriod = std::chrono::seconds(5);
   Duration SeedProbePeriod = std::chrono::seconds(30);
 
+  /// Pause after the first whole reading of the member list; doubles with each
+  /// further one. When many processes start at once, the first list is not
+  /// complete.
+  Duration JoinPause = std::chrono::seconds(3);
+
   /// One page of the member list is read this often, which repairs lost news.
   Duration SyncPeriod = std::chrono::seconds(10);
 
+  /// The member list is read as a whole at most this often after the start.
+  Duration RepairPeriod = std::chrono::seconds(60);
+
   /// Time for which a member that left still answers requests.
   Duration LeaveTime = std::chrono::seconds(15);
 
@@ -200,7 +209,14 @@
   std::size_t Piggyback = 8;     ///< Updates per message.
   std::size_t UpdateBytes = 900; ///< Of all updates of a message.
   std::size_t SyncBytes = 1100;  ///< Of a page of the member list.
+  unsigned JoinPasses = 4;       ///< Whole readings of the list at the start.
+
+  /// A process whose peers knew more members this many times in a row reads the
+  /// whole list. Probes come once a second, and news spreads in less than 10 s.
+  unsigned RepairAfter = 10;
+
   unsigned Retransmit = 4;       ///< Sends per update, times log10 of members.
+  unsigned LeastSends = 12;      ///< Of an update, while few members are known.
   unsigned MaxHealth = 8;        ///< Of the local health multiplier.
   std::size_t MaxMembers = 8192; ///< Bounds memory against hostile messages.
 
@@ -233,7 +249,7 @@
   unsigned health() const { return this->Health; }
 
   /// \returns whether the member list of another process has been read.
-  bool joined() const { return this->SyncDone; }
+  bool joined() const { return this->Passes > 0; }
 
 private:
   class Draws;
@@ -248,6 +264,12 @@
     bool HelperAnswered = false;
   };
 
+  /// When a suspect is asked again, and when it is taken for dead.
+  struct Suspicion {
+    TimePoint AskAt{};
+    TimePoint DeadAt{};
+  };
+
   /// A ping sent on behalf of another member.
   struct Relay {
     Endpoint For;
@@ -263,8 +285,8 @@
 
   std::map<ProcessKey, Member> Members;
   std::size_t Alive = 0;
-  std::map<ProcessKey, TimePoint> Suspicions; ///< When each turns to Dead.
-  std::set<ProcessKey> Departed;              ///< Left or dead.
+  std::map<ProcessKey, Suspicion> Suspicions;
+  std::set<ProcessKey> Departed; ///< Left or dead.
   std::vector<ProcessKey> ProbeOrder;
   std::size_t ProbeNext = 0;
   std::optional<Probe> Running;
@@ -279,7 +301,9 @@
   TimePoint NextSeedProbe{};
   TimePoint NextSync{};
 
-  bool SyncDone = false;
+  unsigned Passes = 0; ///< Whole readings of the member list so far.
+  unsigned Behind = 0; ///< Answers in a row from peers that know more members.
+  TimePoint NextRepair{};
   std::optional<ProcessKey> SyncAfter;
   std::uint64_t SyncSequence = 0; ///< 0: no page is asked for.
 
@@ -291,7 +315,8 @@
   void onPing(const Ping &Body, const GossipReceived &Event, Effects &Out);
   void onPingRequest(const PingRequest &Body, const GossipReceived &Event,
                      TimePoint Now, Effects &Out);
-  void onAck(const Ack &Body, const GossipReceived &Event, Effects &Out);
+  void onAck(const Ack &Body, const GossipReceived &Event, TimePoint Now,
+             Effects &Out);
 
   void finishProbe(TimePoint Now, Effects &Out);
   void startProbe(TimePoint Now, Draws &Random, Effects &Out);
@@ -311,7 +336,7 @@
   std::vector<const Member *> randomMembers(std::size_t Count,
                                             const ProcessKey *Except,
                                             Draws &Random) const;
-  Duration suspicionTime() const;
+  void suspect(const ProcessKey &Who, TimePoint Now);
   unsigned retransmissions() const;
 };
 
--- a/balsamyard/src/Process/ShareKeeper.cpp
+++ b/balsamyard/src/Process/ShareKeeper.cpp
@@ -275,8 +275,7 @@
       this->GivenAway = true;
       this->Empty.notify_all();
     }
-    TimePoint Due =
-        steadyNow() + (IsLeaving && !None ? LeavePause : TickPause);
+    TimePoint Due = steadyNow() + (IsLeaving && !None ? LeavePause : TickPause);
     this->Woken.wait_until(Lock, Due,
                            [this] { return this->Stopping || this->Wanted; });
     if (steadyNow() - Due > MaxLateness)
