Judge and move versions as pure decisions

Cause: a bad version must get 1% of a route or 50 requests at most before it is found, and a good one must arrive in time, at night too. Change: VersionJudge, VersionMove, MoveLease and the state document.

--- /dev/null
+++ b/balsamyard/src/Version/VersionMove.h
@@ -0,0 +1,199 @@
+#pragma once
+
+#include "balsamyard/src/Version/RoutingView.h"
+#include "balsamyard/src/Version/VersionJudge.h"
+
+#include <array>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace balsamyard {
+
+/// \brief Shares of the traffic that the new version gets, step by step.
+inline constexpr std::array<double, 5> MoveSteps = {0.01, 0.05, 0.25, 0.5, 1.0};
+
+/// \brief Requests to the new version that a step needs at least. On a route
+/// with little traffic the share is raised so that they arrive in time.
+inline constexpr double StepFloor = 50;
+
+/// \brief Time for which a step lasts at least, so that a fault that begins
+/// under more load can show.
+inline constexpr Duration LeastStepTime = std::chrono::seconds(30);
+
+/// \brief Time for which a version is watched after the last step.
+inline constexpr Duration WatchTime = std::chrono::minutes(10);
+
+enum class MoveStatus : std::uint8_t { UnderWay, Done, TakenBack };
+
+/// \returns "under way", "done" or "taken back".
+std::string_view toText(MoveStatus Status);
+
+/// \brief Value of the platform object `shared/moves/SERVICE/ROUTE`.
+struct MoveState {
+  ServiceName Service;
+  RouteName Route;
+  VersionName From;
+  VersionName To;
+  std::string Rule; ///< Identifies the rule. \sa moveRuleId
+  MoveStatus Status = MoveStatus::UnderWay;
+  std::string Reason; ///< Why it was taken back.
+  std::uint32_t Step = 0;
+  double Share = 0; ///< Of the traffic of the route, 0 to 1.
+  WallTime StepSince{};
+  NodeName Judge;
+  std::uint64_t Epoch = 0;   ///< Of the judge's lease.
+  std::uint64_t Version = 0; ///< Of the object; not part of the value.
+};
+
+Expected<MoveState> parseMoveState(std::string_view Json);
+std::string toJson(const MoveState &State);
+
+/// \returns the division of the route's traffic that \p State stands for.
+TrafficSplit splitOf(const MoveState &State);
+
+/// \returns a text that changes whenever the target or the time of the rule
+/// changes. A version that was taken back stays so for the same text.
+std::string moveRuleId(const MoveRule &Rule);
+
+/// \returns the number that notices carry for the rule.
+ConfigVersion moveRuleNumber(const std::string &RuleId);
+
+/// \brief A second passed. Leads: this process holds the lease of the service.
+struct MoveTick {
+  TimePoint Now{};
+  WallTime Wall{};
+  bool Leads = false;
+  std::uint64_t Epoch = 0;
+};
+
+/// \brief Counts of a holder arrived.
+struct MoveCounts {
+  Evidence Counts;
+};
+
+/// \brief The state was read from the platform or was written there.
+struct MoveLoaded {
+  MoveState State;
+};
+
+/// \brief The platform holds no state of this move.
+struct MoveAbsent {};
+
+/// \brief Another process took the version back.
+struct MoveTakenBackElsewhere {
+  std::string Reason;
+};
+
+/// \brief The rule no longer exists.
+struct MoveRuleRemoved {};
+
+using MoveEvent = std::variant<MoveTick, MoveCounts, MoveLoaded, MoveAbsent,
+                               MoveTakenBackElsewhere, MoveRuleRemoved>;
+
+/// \brief Replace the state if its version is still State.Version (0: create),
+/// then report it by MoveLoaded.
+struct WriteMove {
+  MoveState State;
+};
+
+/// \brief Tell all processes at once that the version is taken back.
+struct AnnounceTakenBack {
+  VersionTakenBack Body;
+};
+
+using MoveEffect = std::variant<WriteMove, AnnounceTakenBack>;
+
+/// \brief Moves the traffic of one route to a new version.
+///
+/// Pure. Only a process that holds the lease steps forward; any process takes
+/// the version back. Without the platform no state is written, so there is no
+/// step forward, but AnnounceTakenBack still goes out.
+class VersionMove {
+public:
+  /// \p Caution is that of the own judge. \sa VersionJudge
+  VersionMove(NodeName Self, RouteKey Route, MoveRule Rule, VersionName From,
+              double Caution = 0);
+
+  std::vector<MoveEffect> handle(const MoveEvent &Event);
+
+  /// \returns the newest known state, if the platform has one of this rule.
+  const std::optional<MoveState> &state() const { return this->State; }
+
+  /// \returns whether the state is still to be read.
+  bool mustLoad() const { return !this->Loaded; }
+
+  const std::string &ruleId() const { return this->RuleId; }
+  const VersionJudge &judge() const { return this->Judge; }
+
+private:
+  using Effects = std::vector<MoveEffect>;
+
+  void onTick(const MoveTick &Tick, Effects &Out);
+  void onLoaded(const MoveState &Newer);
+  void takeBack(const std::string &Reason, Effects &Out);
+  MoveState first(const MoveTick &Tick) const;
+  bool passes(const MoveTick &Tick, const Judgement &Found) const;
+  Duration stepBudget(WallTime Wall) const;
+  double wantedShare(const MoveTick &Tick) const;
+
+  NodeName Self;
+  RouteKey Route;
+  MoveRule Rule;
+  VersionName From;
+  std::string RuleId;
+  VersionJudge Judge;
+  std::optional<MoveState> State;
+  std::uint64_t ObjectVersion = 0; ///< Of an older move's state, 0: none.
+  bool Loaded = false;
+  std::optional<std::string> BackReason;
+  bool Announced = false;
+};
+
+/// \brief A judge's lease, as seen by one process.
+///
+/// A lease is an object whose version changes with each renewal. Others take it
+/// over once its version has not changed for LeaseTime on their own clock; the
+/// holder trusts it for less.
+class MoveLease {
+public:
+  static constexpr Duration LeaseTime = std::chrono::seconds(10);
+  static constexpr Duration TrustTime = std::chrono::seconds(7);
+  static constexpr Duration RenewPeriod = std::chrono::seconds(3);
+
+  explicit MoveLease(NodeName Self) : Self(std::move(Self)) {}
+
+  /// \brief The object was read: its holder, epoch and version.
+  void seen(const NodeName &Holder, std::uint64_t Epoch, std::uint64_t Version,
+            TimePoint Now);
+  void seenAbsent(TimePoint Now) { this->seen({}, 0, 0, Now); }
+
+  /// \brief An update that was sent at \p SentAt succeeded.
+  void written(std::uint64_t Epoch, std::uint64_t Version, TimePoint SentAt);
+
+  /// \brief An update failed or its result is unclear.
+  void lost() { this->MustRead = true; }
+
+  bool mustRead(TimePoint Now) const;
+
+  /// \returns the epoch to write if an update is due, or nothing.
+  std::optional<std::uint64_t> due(TimePoint Now) const;
+
+  bool holds(TimePoint Now) const { return Now < this->TrustedUntil; }
+  std::uint64_t epoch() const { return this->Epoch; }
+  std::uint64_t version() const { return this->Version; }
+
+private:
+  NodeName Self;
+  NodeName Holder;
+  std::uint64_t Epoch = 0;
+  std::uint64_t Version = 0;
+  TimePoint ChangedAt{};
+  TimePoint ReadAt{};
+  TimePoint TrustedUntil{};
+  TimePoint RenewAt{};
+  bool MustRead = true;
+};
+
+} // namespace balsamyard
