--- a/tests/SharePlanTest.cpp
+++ b/tests/SharePlanTest.cpp
@@ -420,8 +420,7 @@
         ++Users[Lane];
         // What the process opens at a slot of the group; the slot counts them.
         Connections[Lane.Group] +=
-            laneShare(ConnectionLimit, static_cast<std::uint32_t>(MaxLaneCount),
-                      Lane.Lane);
+            laneShare(ConnectionLimit, MaxLaneCount, Lane.Lane);
       }
     }
     for (const auto &[Lane, Count] : Users)
