--- a/balsamyard/src/Connection/Http2Session.cpp
+++ b/balsamyard/src/Connection/Http2Session.cpp
@@ -33,7 +33,7 @@
 constexpr int UnacknowledgedLimitMs = 5000;
 
 /// Finds the same on a connection without traffic. At target size 840 such
-/// connections cost about 0.3 KB/s; a tenth of this time would exceed the
+/// connections cost about 0.4 KB/s; a tenth of this time would exceed the
 /// control budget of a node.
 constexpr int KeepAliveIdleSeconds = 300;
 constexpr int KeepAliveIntervalSeconds = 5;
--- a/balsamyard/src/Process/Replay.cpp
+++ b/balsamyard/src/Process/Replay.cpp
@@ -464,13 +464,12 @@
       Repeatable.insert(Each.Id.Text);
     ++Figures["queries"];
     ++Figures[Each.IsWrite ? "writes" : "searches"];
-    ++Figures[std::string(endName(Each.End))];
-    Figures["wrong"] += Each.Wrong.empty() ? 0 : 1;
-    Figures["within_deadline"] += Each.InTime ? 1 : 0;
+    ++Figures[Each.Wrong.empty() ? std::string(endName(Each.End)) : "wrong"];
+    Figures["within_deadline"] += Each.InTime && Each.Wrong.empty() ? 1 : 0;
     DelayMost = std::max(DelayMost, Each.StartDelay);
     EndLast = std::max(EndLast, Each.At + Each.Latency);
-    bool Answered =
-        Each.End == ReplayEnd::Whole || Each.End == ReplayEnd::Partial;
+    bool Answered = Each.Wrong.empty() && (Each.End == ReplayEnd::Whole ||
+                                           Each.End == ReplayEnd::Partial);
     if (Answered)
       (Each.IsWrite ? Writes : Searches).push_back(Each.Latency);
     if (Answered && !Each.IsWrite) {
--- a/balsamyard/src/Process/Replay.h
+++ b/balsamyard/src/Process/Replay.h
@@ -105,7 +105,8 @@
 /// \brief Figures of a run by name, such as `queries`, `p99_ms`.
 using ReplayFigures = std::map<std::string, double>;
 
-/// \brief Sums up a run.
+/// \brief Sums up a run. Each request counts in one of `whole`, `partial`,
+/// `refused`, `lost` and `wrong`.
 ///
 /// Percentiles are over searches with whole or partial answers, and those named
 /// `write_` over such writes. A lost request has a latency, but counts in none
--- a/tests/ReplayTest.cpp
+++ b/tests/ReplayTest.cpp
@@ -274,6 +274,18 @@
     CHECK(Figures["within_deadline"] == Approx(1001.0 / 1002));
   }
 
+  SECTION("a wrong answer is neither whole nor fast") {
+    std::vector<ReplayResult> Results = {result(ReplayEnd::Whole, 1ms),
+                                         result(ReplayEnd::Whole, 9ms)};
+    Results[0].Wrong = "the answer is to another request";
+    ReplayFigures Figures = sumUp(Results, {});
+    CHECK(Figures["wrong"] == 1);
+    CHECK(Figures["whole"] == 1);
+    CHECK(Figures["p50_ms"] == 9);
+    CHECK(Figures["whole_share"] == 0.5);
+    CHECK(Figures["within_deadline"] == 0.5);
+  }
+
   SECTION("a run without requests has no percentiles") {
     CHECK(sumUp({}, {})["p99_ms"] == 0);
   }
