--- a/balsamyard/src/Process/ControlAgent.cpp
+++ b/balsamyard/src/Process/ControlAgent.cpp
@@ -5,6 +5,7 @@
 #include "balsamyard/src/Process/ConfigSpread.h"
 #include "balsamyard/src/Process/GossipCodec.h"
 #include "balsamyard/src/Process/Log.h"
+#include "balsamyard/src/Process/RulesStore.h"
 #include "balsamyard/src/Version/RulesDelta.h"
 
 #include <array>
@@ -157,7 +158,6 @@
 
     void runPlatform();
     ConfigEvent readPlatform(const ReadPlatform &Job);
-    Expected<std::string> readRules(const std::string &Head);
     void readVms();
 
     void runViews();
@@ -424,7 +424,8 @@
       return PlatformFailed{};
     std::string Text = std::move(Object->Value);
     if (IsRules) {
-      Expected<std::string> Whole = this->readRules(Text);
+      Expected<std::string> Whole =
+          RulesStore(this->Platform).assemble(Text);
       if (!Whole) {
         logEvent(LogLevel::Error, "document-refused",
                  {{"document", Name},
@@ -443,29 +444,6 @@
   return Result;
 }
 
-Expected<std::string>
-ControlAgent::Impl::Core::readRules(const std::string &Head) {
-  nlohmann::json Value = nlohmann::json::parse(Head, nullptr, false);
-  if (!Value.is_object() || !Value.contains("parts") ||
-      !Value["parts"].is_array() || !Value.contains("digest") ||
-      !Value["digest"].is_string())
-    return fail(Code::PlatformMalformed,
-                "rules head: expected an object with 'parts' and 'digest'");
-  std::string Text;
-  for (const nlohmann::json &Part : Value["parts"]) {
-    if (!Part.is_string())
-      return fail(Code::PlatformMalformed, "rules head: expected digests");
-    Expected<PlatformObject> Object =
-        this->Platform.get("rules-part/" + Part.get<std::string>());
-    if (!Object)
-      return tl::unexpected(Object.error());
-    Text += Object->Value;
-  }
-  if (digestOf(Text) != Value["digest"].get<std::string>())
-    return fail(Code::DigestMismatch, "rules: parts do not match the head");
-  return Text;
-}
-
 void ControlAgent::Impl::Core::readVms() {
   Expected<std::vector<PlatformVm>> List = this->Platform.vms();
   if (!List)
--- a/scripts/deployment.sh
+++ b/scripts/deployment.sh
@@ -37,16 +37,20 @@
   wait "$PID" 2>/dev/null || true
 }
 
-# stop_processes: ends every process that was started here.
+# stop_processes: ends every process that was started here; entry and holder
+# processes first, because they give their lanes away at the platform.
 stop_processes() {
-  local KEY
-  for KEY in "${!PROCESS_IDS[@]}"; do
-    kill -TERM "${PROCESS_IDS[$KEY]}" 2>/dev/null || true
-  done
-  for KEY in "${!PROCESS_IDS[@]}"; do
-    wait "${PROCESS_IDS[$KEY]}" 2>/dev/null || true
+  local KEY KIND
+  for KIND in 'entry$' 'holder$' '.'; do
+    for KEY in "${!PROCESS_IDS[@]}"; do
+      [[ $KEY =~ $KIND ]] && kill -TERM "${PROCESS_IDS[$KEY]}" 2>/dev/null
+    done
+    for KEY in "${!PROCESS_IDS[@]}"; do
+      [[ $KEY =~ $KIND ]] || continue
+      wait "${PROCESS_IDS[$KEY]}" 2>/dev/null || true
+      unset "PROCESS_IDS[$KEY]"
+    done
   done
-  PROCESS_IDS=()
 }
 
 # http METHOD IP:PORT PATH [BODY]: prints the answer with its head.
--- /dev/null
+++ b/tests/RulesStoreTest.cpp
@@ -0,0 +1,74 @@
+#include "balsamyard/src/Process/RulesStore.h"
+#include "apps/standin-platform/PlatformStandIn.h"
+#include "tests/LocalServer.h"
+
+#include <catch2/catch.hpp>
+
+using namespace balsamyard;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::string First = "drain domain=east  # asked by Ada\n";
+const std::string Second = "drain domain=west  # asked by Ben\n";
+
+std::uint64_t accepted(const Expected<ApplyResult> &Result) {
+  REQUIRE(Result);
+  REQUIRE(std::holds_alternative<RulesAccepted>(*Result));
+  return std::get<RulesAccepted>(*Result).Version;
+}
+
+} // namespace
+
+// Guards against one operator's rules silently replacing another's, and against
+// a report that contradicts what is in force.
+TEST_CASE("operators replace the rules one after another", "[rules-store]") {
+  standin::PlatformStandIn StandIn;
+  LocalServer Local;
+  StandIn.mount(Local.Server, 16);
+  const Endpoint At = Local.start();
+  PlatformClient Client(At, 2s);
+  RulesStore Store(Client);
+  auto SetFault = [&](const std::string &Body) {
+    httplib::Client Direct(At.Address, At.Port);
+    REQUIRE(Direct.Post("/fault", Body, "application/json")->status == 200);
+  };
+
+  CHECK(Store.read()->Version == 0);
+  const std::uint64_t Version = accepted(Store.apply(First, 0));
+  CHECK(Store.read()->Text == First);
+
+  SECTION("an apply on the newest version is accepted") {
+    CHECK(accepted(Store.apply(Second, Version)) > Version);
+    CHECK(Store.read()->Text == Second);
+
+    SECTION("an apply on the older version shows what is in force") {
+      Expected<ApplyResult> Late = Store.apply(First + Second, Version);
+      REQUIRE(std::holds_alternative<RulesConflict>(*Late));
+      CHECK(std::get<RulesConflict>(*Late).Current.Text == Second);
+      CHECK(Store.read()->Text == Second);
+    }
+  }
+
+  SECTION("a lost answer is cleared up by reading back") {
+    SetFault(R"({"kind":"lost-answer","on":true,"prefix":"shared/rules"})");
+    CHECK(accepted(Store.apply(Second, Version)) > Version);
+    CHECK(Store.read()->Text == Second);
+  }
+
+  SECTION("a text of several parts changes as one") {
+    std::string Long;
+    while (Long.size() < 2 * MaxRulesPartBytes)
+      Long += "# A line that makes the text longer than one value may be.\n";
+    accepted(Store.apply(Long, Version));
+    CHECK(Store.read()->Text == Long);
+  }
+
+  SECTION("while the platform is down nothing is accepted") {
+    SetFault(R"({"kind":"down","on":true})");
+    CHECK(Store.apply(Second, Version).error().Value ==
+          Code::PlatformUnavailable);
+    SetFault(R"({"kind":"down","on":false})");
+    CHECK(Store.read()->Text == First);
+  }
+}
