--- a/apps/balsamyardctl/RulesCommands.cpp
+++ b/apps/balsamyardctl/RulesCommands.cpp
@@ -43,7 +43,7 @@
   for (const RuleFault &Fault : Parsed.error())
     std::cerr << Path << ":" << Fault.Line << ":" << Fault.Column << ": "
               << static_cast<int>(Fault.Value) << " " << name(Fault.Value)
-              << ": expected " << Fault.Expectation << "\n";
+              << ": " << Fault.Expectation << "\n";
   return false;
 }
 
