Keep stragglers idle across regions and correct the policy benchmark

Change: slots of different distances are compared by latency with factors 1, 1.5 and 2, and requests in flight to the nearer one count an eighth. The fleet makes a query when it starts.

--- a/balsamyard/src/Request/ReplicaChoice.cpp
+++ b/balsamyard/src/Request/ReplicaChoice.cpp
@@ -8,15 +8,19 @@
 
 namespace {
 
-/// A farther slot has to be this many times faster than a nearer one to be
-/// preferred, so that load does not spill to another region on small
-/// differences.
-constexpr std::uint64_t distanceFactor(Nearness Distance) {
+/// Requests in flight to the nearer slot that double its cost when it is
+/// compared with a farther one.
+constexpr std::uint64_t SpillRequests = 8;
+
+/// A farther slot has to be this many times faster, in halves. The observed
+/// latency includes the network, so a larger factor would keep load on a
+/// straggler: with 4, a slot of 60 ms tied with one of 14 ms in another region.
+constexpr std::uint64_t distanceHalves(Nearness Distance) {
   switch (Distance) {
   case Nearness::OwnDomain:
-    return 1;
-  case Nearness::OwnRegion:
     return 2;
+  case Nearness::OwnRegion:
+    return 3;
   case Nearness::Elsewhere:
     return 4;
   }
@@ -47,15 +51,29 @@
   return static_cast<std::uint32_t>(Value * Bound >> 31);
 }
 
-std::uint64_t score(const ServiceIndex &Index, const SlotRoute &Slot,
-                    TimePoint Now) {
+namespace {
+
+std::uint64_t latencyCost(const ServiceIndex &Index, const SlotRoute &Slot,
+                          TimePoint Now) {
   const auto Latency = static_cast<std::uint64_t>(
       std::max<std::int64_t>(Slot.Stats->latency(Now).count(), 1));
-  std::uint64_t Cost =
-      Latency * (Slot.Stats->inFlight() + 1) * distanceFactor(Slot.Distance);
-  if (!hasReachableHolder(Index, Index.OwnerSets[Slot.Lanes], Now))
-    Cost *= UnreachableFactor;
-  return Cost;
+  return hasReachableHolder(Index, Index.OwnerSets[Slot.Lanes], Now)
+             ? Latency
+             : Latency * UnreachableFactor;
+}
+
+} // namespace
+
+std::uint64_t score(const ServiceIndex &Index, const SlotRoute &Slot,
+                    TimePoint Now) {
+  return latencyCost(Index, Slot, Now) * (Slot.Stats->inFlight() + 1);
+}
+
+std::uint64_t distantScore(const ServiceIndex &Index, const SlotRoute &Slot,
+                           TimePoint Now) {
+  return latencyCost(Index, Slot, Now) *
+         (Slot.Stats->inFlight() + SpillRequests) *
+         distanceHalves(Slot.Distance);
 }
 
 std::optional<std::uint32_t> chooseSlot(const ServiceIndex &Index,
@@ -102,12 +120,17 @@
   }
   if (!Second)
     return First;
-  const std::uint64_t FirstScore = score(Index, Routes.Slots[*First], Now);
-  const std::uint64_t SecondScore = score(Index, Routes.Slots[*Second], Now);
-  if (FirstScore == SecondScore &&
-      Routes.Slots[*First].Distance == Routes.Slots[*Second].Distance)
+  const SlotRoute &Near = Routes.Slots[*First];
+  const SlotRoute &Other = Routes.Slots[*Second];
+  if (Near.Distance != Other.Distance)
+    return distantScore(Index, Near, Now) <= distantScore(Index, Other, Now)
+               ? First
+               : Second;
+  const std::uint64_t FirstScore = score(Index, Near, Now);
+  const std::uint64_t SecondScore = score(Index, Other, Now);
+  if (FirstScore == SecondScore)
     return Random.below(2) == 0 ? First : Second;
-  return FirstScore <= SecondScore ? First : Second;
+  return FirstScore < SecondScore ? First : Second;
 }
 
 LaneChoice::LaneChoice(const ServiceIndex &Index)
--- a/balsamyard/src/Request/ReplicaChoice.h
+++ b/balsamyard/src/Request/ReplicaChoice.h
@@ -36,12 +36,18 @@
   std::uint64_t Bits = 0;
 };
 
-/// \brief Expected cost of sending the next request to a slot: latency x
-/// (requests in flight + 1), weighted by distance and by whether any holder of
-/// the slot could be reached lately.
+/// \brief Expected cost of sending the next request to a slot, compared with
+/// slots of the same distance: latency x (requests in flight + 1).
 std::uint64_t score(const ServiceIndex &Index, const SlotRoute &Slot,
                     TimePoint Now);
 
+/// \brief Expected cost of a slot, compared with slots of another distance.
+///
+/// Requests in flight count less, because a few of them are no reason to leave
+/// the failure domain; a farther slot has to be clearly faster.
+std::uint64_t distantScore(const ServiceIndex &Index, const SlotRoute &Slot,
+                           TimePoint Now);
+
 /// \brief Picks the better of two random candidates among the slots of \p Leaf
 /// that are not in \p Tried.
 ///
--- a/tests/ReplicaChoiceTest.cpp
+++ b/tests/ReplicaChoiceTest.cpp
@@ -122,6 +122,28 @@
       World.observe(0, 50 * Millisecond);
       CHECK(World.choices().count(0) == 0);
     }
+
+    SECTION("a few requests in flight are no reason to leave the domain") {
+      for (int Request = 0; Request < 4; ++Request)
+        World.stats(0).started();
+      CHECK(World.choices() == std::map<SlotIndex, int>{{0, 1000}});
+    }
+
+    SECTION("many requests in flight are") {
+      for (int Request = 0; Request < 30; ++Request)
+        World.stats(0).started();
+      CHECK(World.choices().count(0) == 0);
+    }
+  }
+
+  SECTION("a straggler is avoided although the others are in other regions") {
+    // 60 ms against 14 ms: with the former factor of 4 for the distance the
+    // straggler kept half of the load.
+    LeafWorld World({.Leaves = 1, .Slots = 3, .Domains = 3, .Regions = 3});
+    World.observe(0, 50 * Millisecond);
+    World.observe(1, 14 * Millisecond);
+    World.observe(2, 14 * Millisecond);
+    CHECK(World.choices().count(0) == 0);
   }
 
   SECTION("a slot of the own region comes before one of another") {
--- a/tests/VirtualFleet.h
+++ b/tests/VirtualFleet.h
@@ -54,13 +54,10 @@
     Input.Deadline = At + TimeLeft;
     Input.WantedCoverage = WantedCoverage;
     Input.Seed = Seed;
-    const ServiceIndex &Service = *this->Index->service({"portal"});
     Run Next;
     Next.Started = At;
     Next.Deadline = Input.Deadline;
-    Next.Search = std::make_unique<Query>(std::move(Input), Service,
-                                          *Service.choose(nullptr, {"any"}),
-                                          this->Budget);
+    Next.Input = std::move(Input);
     this->Runs.push_back(std::move(Next));
     this->push(At, Number, QueryStarted{});
   }
@@ -74,6 +71,12 @@
       Run &Current = this->Runs[Next.Run];
       if (Current.Done || this->isVoid(Current, Next.What))
         continue;
+      // A query is made when it starts, because it takes its hedge delay from
+      // what was observed until then.
+      if (std::holds_alternative<QueryStarted>(Next.What))
+        Current.Search = std::make_unique<Query>(
+            std::move(Current.Input), this->service(),
+            *this->service().choose(nullptr, {"any"}), this->Budget);
       QueryEffects Effects;
       Current.Search->handle(std::move(Next.What), this->Now, Effects);
       for (const QueryEffect &Effect : Effects)
@@ -107,6 +110,7 @@
     TimePoint Started{};
     TimePoint Deadline{};
     TimePoint Wake{};
+    QueryInput Input;
     std::unique_ptr<Query> Search;
     std::vector<bool> Cancelled; ///< By batch.
     bool Done = false;
