Adapt the holder to the tables of the share keeper

Change: a lane is cut off at once only if the table names another node; a gate without a named owner is left to stopGates().

--- a/apps/balsamyard-holder/GateService.cpp
+++ b/apps/balsamyard-holder/GateService.cpp
@@ -131,17 +131,18 @@
     std::lock_guard<std::mutex> Lock(this->OwnedMutex);
     this->Owned = makeRef<const OwnedShares>(Owned);
   }
-  const GateTable &Table = Owned.Table;
+  const GateTable &Table = Owned.Writers;
   if (Table.Version == 0)
     return;
   for (std::size_t Number = 0; Number < WriteGateCount; ++Number) {
     const GateOwner &Owner = Table.Gates[Number];
-    if (Owned.Gates.contains(Number)) {
+    // Without an owner here, the gate is about to be given away or the keeper
+    // was paused; stopGates() and the pause check of the gate see to that.
+    if (Owner.Node.empty())
+      continue;
+    if (Owned.Gates.contains(Number))
       this->apply(Number, GiveAwaySettled{Table.Version});
-      this->apply(Number, OwnerRead{Table.Version, Owner, 0});
-    } else if (Owner.Node != this->State.Own.Node) {
-      this->apply(Number, OwnerRead{Table.Version, Owner, 0});
-    }
+    this->apply(Number, OwnerRead{Table.Version, Owner, 0});
   }
 }
 
--- a/apps/balsamyard-holder/SearchService.cpp
+++ b/apps/balsamyard-holder/SearchService.cpp
@@ -19,13 +19,21 @@
     this->State.Numbers.add(
         "balsamyard_leaf_replies_total",
         "code=\"" + std::to_string(static_cast<int>(Reply.Result)) + "\"");
-    if (this->Open.fetch_sub(1) == 1)
-      this->Stream->finish();
+    if (this->Open.fetch_sub(1) != 1)
+      return;
+    this->Stream->finish();
+    // The tasks refer to the batch, so they are let go with the last reply.
+    std::vector<Ref<SlotTask>> Unused;
+    std::lock_guard<std::mutex> Lock(this->Mutex);
+    Unused.swap(this->Tasks);
+    this->Ended = true;
   }
 
   void add(const Ref<SlotTask> &Task) {
     {
       std::lock_guard<std::mutex> Lock(this->Mutex);
+      if (this->Ended)
+        return;
       this->Tasks.push_back(Task);
       if (!this->Cancelled)
         return;
@@ -50,6 +58,7 @@
   std::atomic<std::size_t> Open;
   std::mutex Mutex;
   bool Cancelled = false;
+  bool Ended = false;
   std::vector<Ref<SlotTask>> Tasks;
 };
 
--- a/apps/balsamyard-holder/SlotTable.cpp
+++ b/apps/balsamyard-holder/SlotTable.cpp
@@ -30,10 +30,10 @@
   for (const LaneEffect &Effect : this->Lanes.apply(Owned.Lanes)) {
     if (const auto *Gained = std::get_if<LaneTaken>(&Effect))
       Taken.insert(Gained->Lane.Group);
-    // A lane that this node gives away is still listed under its name, and its
-    // requests may end. A lane that another node uses is given up at once.
+    // The requests of a lane that this node gives away may end. A lane that
+    // another node uses is given up at once.
     else if (const auto *Lost = std::get_if<LaneLost>(&Effect);
-             Lost && !this->isListed(View, Lost->Lane))
+             Lost && this->isTakenOver(Owned.Shares, Lost->Lane))
       TakenOver.insert(Lost->Lane.Group);
   }
   // A drained domain returns through cold start.
@@ -71,13 +71,12 @@
   this->Slots.publish(Next);
 }
 
-bool SlotTable::isListed(const RoutingView &View, const LaneKey &Lane) const {
-  auto Table = View.Shares.find(this->State.Own.Domain);
-  if (Table == View.Shares.end())
-    return true;
-  const std::vector<NodeName> *Owners = Table->second.owners(Lane.Group);
+bool SlotTable::isTakenOver(const ShareTable &Table,
+                            const LaneKey &Lane) const {
+  const std::vector<NodeName> *Owners = Table.owners(Lane.Group);
   return Owners && Lane.Lane < Owners->size() &&
-         (*Owners)[Lane.Lane] == this->State.Own.Node;
+         !(*Owners)[Lane.Lane].empty() &&
+         (*Owners)[Lane.Lane] != this->State.Own.Node;
 }
 
 void SlotTable::stopLanes(const std::vector<LaneKey> &Lanes) {
--- a/apps/balsamyard-holder/SlotTable.h
+++ b/apps/balsamyard-holder/SlotTable.h
@@ -41,8 +41,8 @@
 private:
   SlotObserver makeObserver();
 
-  /// \returns whether the newest table lists the lane under this node.
-  bool isListed(const RoutingView &View, const LaneKey &Lane) const;
+  /// \returns whether another node is listed for the lane.
+  bool isTakenOver(const ShareTable &Table, const LaneKey &Lane) const;
   void onEffect(const SlotKey &Key, const SlotEffect &Effect);
   void onCrash(const SlotKey &Key, std::uint64_t Generation, Fingerprint Print);
   void onResult(const SlotKey &Key, const RouteName &Route, TaskResult Result,
--- a/balsamyard/src/Connection/Lane.cpp
+++ b/balsamyard/src/Connection/Lane.cpp
@@ -37,7 +37,7 @@
   Result.Count = MaxLaneCount;
   for (auto Lane = this->Used.lower_bound({Group, 0});
        Lane != this->Used.end() && Lane->Group == Group; ++Lane)
-    Result.Owned.push_back(static_cast<std::uint32_t>(Lane->Lane));
+    Result.Owned.push_back(Lane->Lane);
   return Result;
 }
 
--- a/balsamyard/src/Process/ShareKeeper.cpp
+++ b/balsamyard/src/Process/ShareKeeper.cpp
@@ -29,26 +29,19 @@
 /// A timer that fires this late shows that the process was paused.
 constexpr Duration MaxLateness = std::chrono::seconds(2);
 
-<<<<<<< HEAD
-=======
 ShareTable emptyTable(const DomainName &Domain) {
   ShareTable Table;
   Table.Domain = Domain;
   return Table;
 }
 
->>>>>>> version
 } // namespace
 
 struct ShareKeeper::Impl {
   Impl(const Settings &Own, PlatformClient &Platform, ShareHandlers Handlers)
       : Own(Own), Platform(Platform), Handlers(std::move(Handlers)),
-<<<<<<< HEAD
-        Lanes(Own.Node), Gates(Own.Node), Owned(makeRef<const OwnedShares>()) {}
-=======
         Lanes(Own.Node, emptyTable(Own.Domain)), Gates(Own.Node, GateTable{}),
         Owned(makeRef<const OwnedShares>()) {}
->>>>>>> version
 
   const Settings Own;
   PlatformClient &Platform;
@@ -85,11 +78,6 @@
 
   template <typename Table, typename Unit, typename Plan, typename Stop>
   void advance(ShareLedger<Table, Unit> &Ledger, Pace &Rate,
-<<<<<<< HEAD
-               const std::string &Object, const Table &First,
-               Expected<Table> (*Parse)(std::string_view),
-               const ShareInputs &Inputs, Plan PlanStep, Stop StopUnits);
-=======
                const std::string &Object,
                Expected<Table> (*Parse)(std::string_view),
                const ShareInputs &Inputs, Plan PlanStep, Stop StopUnits);
@@ -100,7 +88,6 @@
   template <typename Step>
   bool isDue(const Step &Planned, Pace &Rate, const std::string &Object,
              const ShareInputs &Inputs) const;
->>>>>>> version
 };
 
 void ShareKeeper::Impl::learnFrom(const RoutingView &View) {
@@ -148,13 +135,6 @@
   auto Next = makeRef<OwnedShares>();
   Next->Lanes = this->Lanes.usable();
   Next->Gates = this->Gates.usable();
-<<<<<<< HEAD
-  if (this->Gates.known())
-    Next->Table = *this->Gates.known();
-  Ref<const OwnedShares> Former = this->Owned.read();
-  if (Former->Lanes == Next->Lanes && Former->Gates == Next->Gates &&
-      Former->Table.Version == Next->Table.Version)
-=======
   if (this->Lanes.known())
     Next->Shares = *this->Lanes.known();
   for (const LaneKey &Lane : ownedBy(Next->Shares, this->Own.Node))
@@ -169,88 +149,12 @@
   if (Former->Lanes == Next->Lanes && Former->Gates == Next->Gates &&
       Former->Shares.Version == Next->Shares.Version &&
       Former->Writers.Version == Next->Writers.Version)
->>>>>>> version
     return;
   this->Owned.publish(Next);
   if (this->Handlers.Changed)
     this->Handlers.Changed(Next);
 }
 
-<<<<<<< HEAD
-template <typename Table, typename Unit, typename Plan, typename Stop>
-void ShareKeeper::Impl::advance(ShareLedger<Table, Unit> &Ledger, Pace &Rate,
-                                const std::string &Object, const Table &First,
-                                Expected<Table> (*Parse)(std::string_view),
-                                const ShareInputs &Inputs, Plan PlanStep,
-                                Stop StopUnits) {
-  if (Ledger.mustRead()) {
-    Expected<PlatformObject> Read = this->Platform.get(Object);
-    if (Read) {
-      Expected<Table> Parsed = Parse(Read->Value);
-      if (!Parsed)
-        return;
-      Parsed->Version = Read->Version;
-      Ledger.learnRead(*Parsed);
-    } else if (Read.error().Value == Code::ObjectAbsent) {
-      Ledger.learnAbsent();
-    } else {
-      return;
-    }
-  }
-  if (Ledger.mustRewrite()) {
-    Table Same = *Ledger.known();
-    Expected<std::uint64_t> Written =
-        this->Platform.update(Object, toJson(Same), Same.Version);
-    if (!Written) {
-      if (Written.error().Value == Code::PlatformConflict)
-        Ledger.refused();
-      else
-        Ledger.unclear();
-      return;
-    }
-    Same.Version = *Written;
-    Ledger.accepted(Same);
-  }
-  this->publish();
-
-  const Table Base = Ledger.known().value_or(First);
-  auto Step = PlanStep(Base, Inputs);
-  if (!Step.Changed) {
-    Rate.NeededSince.reset();
-    return;
-  }
-  if (!Inputs.Leaving) {
-    if (!Rate.NeededSince)
-      Rate.NeededSince = Inputs.Now;
-    std::size_t Rank =
-        Step.Given.empty() ? rankFor(this->Own.Node, Inputs.Usable, Object) : 0;
-    if (Inputs.Now < Rate.NextMove ||
-        Inputs.Now - *Rate.NeededSince < RankPause * std::min(Rank, MaxRank))
-      return;
-    Rate.NextMove = Inputs.Now + MovePause;
-  }
-  if (!Step.Given.empty()) {
-    Ledger.begin(Step.Given);
-    this->publish();
-    StopUnits(Step.Given);
-  }
-  if constexpr (std::is_same_v<Table, GateTable>) {
-    // The new owner refuses ids that were issued before the former one ended.
-    for (std::size_t Gate : Step.Moved)
-      Step.Next.Gates[Gate].Since = wallNow();
-  }
-  Expected<std::uint64_t> Written =
-      Ledger.known()
-          ? this->Platform.update(Object, toJson(Step.Next), Base.Version)
-          : this->Platform.create(Object, toJson(Step.Next));
-  if (Written) {
-    Step.Next.Version = *Written;
-    Ledger.accepted(Step.Next);
-  } else if (Written.error().Value == Code::PlatformConflict) {
-    Ledger.refused();
-  } else {
-    Ledger.unclear();
-=======
 template <typename Table>
 Expected<Table>
 ShareKeeper::Impl::read(const std::string &Object,
@@ -323,7 +227,6 @@
                                                  Update.IfVersion)
                          : this->Platform.create(Object, toJson(Update.Next)));
     this->publish();
->>>>>>> version
   }
 }
 
@@ -351,17 +254,9 @@
 
   ShareInputs NearInputs = Inputs;
   NearInputs.Usable = std::move(Near);
-<<<<<<< HEAD
-  ShareTable First;
-  First.Domain = this->Own.Domain;
-  this->advance<ShareTable, LaneKey>(
-      this->Lanes, this->LanePace, "shared/shares/" + this->Own.Domain.Text,
-      First, &parseShareTable, NearInputs,
-=======
   this->advance<ShareTable, LaneKey>(
       this->Lanes, this->LanePace, "shared/shares/" + this->Own.Domain.Text,
       &parseShareTable, NearInputs,
->>>>>>> version
       [&](const ShareTable &Base, const ShareInputs &With) {
         return planShares(Base, View->Services, With);
       },
@@ -371,12 +266,7 @@
       });
   this->publish();
   this->advance<GateTable, std::size_t>(
-<<<<<<< HEAD
-      this->Gates, this->GatePace, "shared/gates", GateTable{}, &parseGateTable,
-      Inputs,
-=======
       this->Gates, this->GatePace, "shared/gates", &parseGateTable, Inputs,
->>>>>>> version
       [](const GateTable &Base, const ShareInputs &With) {
         return planGates(Base, With);
       },
@@ -394,15 +284,7 @@
     this->Wanted = false;
     Lock.unlock();
     this->look(IsLeaving);
-<<<<<<< HEAD
-    bool None = !this->Lanes.mustRead() && !this->Gates.mustRead() &&
-                (!this->Lanes.known() ||
-                 ownedBy(*this->Lanes.known(), this->Own.Node).empty()) &&
-                (!this->Gates.known() ||
-                 ownedBy(*this->Gates.known(), this->Own.Node).empty());
-=======
     bool None = this->Lanes.ownsNothing() && this->Gates.ownsNothing();
->>>>>>> version
     Lock.lock();
     if (IsLeaving && None) {
       this->GivenAway = true;
--- a/balsamyard/src/Process/ShareKeeper.h
+++ b/balsamyard/src/Process/ShareKeeper.h
@@ -17,15 +17,11 @@
 struct OwnedShares : RefCounted<OwnedShares> {
   std::set<LaneKey> Lanes;
   std::set<std::size_t> Gates;
-<<<<<<< HEAD
-  GateTable Table; ///< Tells since when the gates are owned.
-=======
 
   /// The newest tables. What is listed under this node but may not be used now
   /// has no owner here.
   ShareTable Shares;
   GateTable Writers;
->>>>>>> version
 };
 
 /// \brief Connects a ShareKeeper to the process. All are called on the thread
--- a/balsamyard/src/Version/SharePlan.cpp
+++ b/balsamyard/src/Version/SharePlan.cpp
@@ -107,11 +107,7 @@
     }
   for (auto &[Group, Lanes] : Step.Next.Lanes) {
     std::vector<std::string> Subjects;
-<<<<<<< HEAD
-    for (std::size_t Lane = 0; Lane < Lanes.size(); ++Lane)
-=======
     for (std::uint32_t Lane = 0; Lane < Lanes.size(); ++Lane)
->>>>>>> version
       Subjects.push_back(Group.Service.Text + "/" +
                          std::to_string(Group.Group) + "/" +
                          std::to_string(Lane));
@@ -121,11 +117,7 @@
       Wanted =
           assign(Subjects, Nodes,
                  evenPart(static_cast<double>(Lanes.size()), Nodes.size()));
-<<<<<<< HEAD
-    for (std::size_t Lane = 0; Lane < Lanes.size(); ++Lane) {
-=======
     for (std::uint32_t Lane = 0; Lane < Lanes.size(); ++Lane) {
->>>>>>> version
       if (!moves(Inputs, Lanes[Lane], Wanted[Lane], Step.Given.size()))
         continue;
       if (Lanes[Lane] == Inputs.Self)
@@ -168,11 +160,7 @@
 std::set<LaneKey> ownedBy(const ShareTable &Table, const NodeName &Node) {
   std::set<LaneKey> Result;
   for (const auto &[Group, Lanes] : Table.Lanes)
-<<<<<<< HEAD
-    for (std::size_t Lane = 0; Lane < Lanes.size(); ++Lane)
-=======
     for (std::uint32_t Lane = 0; Lane < Lanes.size(); ++Lane)
->>>>>>> version
       if (Lanes[Lane] == Node)
         Result.insert({Group, Lane});
   return Result;
--- a/tests/SharePlanTest.cpp
+++ b/tests/SharePlanTest.cpp
@@ -419,7 +419,7 @@
       for (const LaneKey &Lane : Node.Ledger->usable()) {
         ++Users[Lane];
         // What the process opens at a slot of the group; the slot counts them.
-        LaneSet Owned;
+        OwnedLanes Owned;
         Owned.Count = MaxLaneCount;
         Owned.Owned = {Lane.Lane};
         Connections[Lane.Group] += laneShare(ConnectionLimit, Owned);
