--- a/balsamyard/src/Process/ShareKeeper.cpp
+++ b/balsamyard/src/Process/ShareKeeper.cpp
@@ -141,14 +141,11 @@
     if (!Next->Lanes.contains(Lane))
       Next->Shares.Lanes[Lane.Group][Lane.Lane] = {};
   if (this->Gates.known())
-    Next->Writers = *this->Gates.known();
-  for (std::size_t Gate : ownedBy(Next->Writers, this->Own.Node))
-    if (!Next->Gates.contains(Gate))
-      Next->Writers.Gates[Gate].Node = {};
+    Next->Table = *this->Gates.known();
   Ref<const OwnedShares> Former = this->Owned.read();
   if (Former->Lanes == Next->Lanes && Former->Gates == Next->Gates &&
       Former->Shares.Version == Next->Shares.Version &&
-      Former->Writers.Version == Next->Writers.Version)
+      Former->Table.Version == Next->Table.Version)
     return;
   this->Owned.publish(Next);
   if (this->Handlers.Changed)
