--- a/balsamyard/src/Process/ConfigSpread.cpp
+++ b/balsamyard/src/Process/ConfigSpread.cpp
@@ -52,7 +52,13 @@
   if (this->StartedAt == TimePoint{})
     this->StartedAt = Now;
   auto OnPeer = [&](const ConfigPeerChanged &Change) {
-    this->Watching.reset();
+    if (Change.Domain == this->Domain) {
+      this->Watching.reset();
+      if (Change.Present)
+        this->SameDomain.insert(Change.Who);
+      else
+        this->SameDomain.erase(Change.Who);
+    }
     if (!Change.Present) {
       this->Peers.erase(Change.Who);
       this->Behind.erase(Change.Who);
@@ -387,9 +393,8 @@
       Role = Who.Role;
   };
   Add(this->Self);
-  for (const auto &[Key, Known] : this->Peers)
-    if (Known.Domain == this->Domain)
-      Add(Key);
+  for (const ProcessKey &Key : this->SameDomain)
+    Add(Key);
   this->Watching = false;
   std::size_t Count = 0;
   for (const auto &[Key, Role] : Nodes) {
--- a/balsamyard/src/Process/ConfigSpread.h
+++ b/balsamyard/src/Process/ConfigSpread.h
@@ -195,7 +195,8 @@
   TimePoint StartedAt{};
 
   std::map<ProcessKey, Peer> Peers;
-  std::set<ProcessKey> Behind; ///< Peers that announced more than Current.
+  std::set<ProcessKey> SameDomain; ///< Peers of the own failure domain.
+  std::set<ProcessKey> Behind;     ///< Peers that announced more than Current.
   std::map<ProcessKey, TimePoint> Fetches; ///< Running ones.
   std::set<ProcessKey> StartAsked;
   std::set<ProcessKey> StartAnswered; ///< With a configuration.
--- a/balsamyard/src/Process/Membership.cpp
+++ b/balsamyard/src/Process/Membership.cpp
@@ -257,6 +257,9 @@
     Item = this->Relays.erase(Item);
   }
 
+  if (Now < this->NextForget)
+    return;
+  this->NextForget = Now + this->Times.Period;
   for (auto Item = this->Departed.begin(); Item != this->Departed.end();) {
     Member &Who = this->Members.at(*Item);
     if (Who.State == MemberState::Left &&
@@ -267,7 +270,7 @@
     }
     if (Now - Who.Since >= this->Times.ForgetDead) {
       Out.emplace_back(MemberChanged{Who, true});
-      this->Rumours.erase(*Item);
+      this->dropRumour(*Item);
       this->Members.erase(*Item);
       Item = this->Departed.erase(Item);
       continue;
@@ -435,14 +438,13 @@
     }
     ++this->Alive;
     std::size_t Rest = this->ProbeOrder.size() - this->ProbeNext;
-    this->ProbeOrder.insert(this->ProbeOrder.begin() +
-                                static_cast<std::ptrdiff_t>(
-                                    this->ProbeNext + Random.below(Rest + 1)),
-                            Key);
+    this->ProbeOrder.push_back(Key);
+    std::swap(this->ProbeOrder.back(),
+              this->ProbeOrder[this->ProbeNext + Random.below(Rest + 1)]);
     if (Update.State == MemberState::Suspect)
       this->suspect(Key, Now);
     if (PassOn)
-      this->Rumours[Key] = 0;
+      this->passOn(Key);
     Out.emplace_back(MemberChanged{Found->second});
     return;
   }
@@ -456,7 +458,7 @@
   Who.Incarnation = Update.Incarnation;
   if (Who.State != Update.State)
     return this->setState(Who, Update.State, Now, Out);
-  this->Rumours[Key] = 0;
+  this->passOn(Key);
   if (Who.State == MemberState::Suspect)
     this->suspect(Key, Now);
   if (Moved)
@@ -483,10 +485,24 @@
         this->ProbeOrder.end())
       this->ProbeOrder.push_back(Key);
   }
-  this->Rumours[Key] = 0;
+  this->passOn(Key);
   Out.emplace_back(MemberChanged{Who});
 }
 
+void Membership::passOn(const ProcessKey &Who) {
+  this->dropRumour(Who);
+  this->Rumours[Who] = 0;
+  this->RumourOrder.emplace(0, Who);
+}
+
+void Membership::dropRumour(const ProcessKey &Who) {
+  auto Found = this->Rumours.find(Who);
+  if (Found == this->Rumours.end())
+    return;
+  this->RumourOrder.erase({Found->second, Who});
+  this->Rumours.erase(Found);
+}
+
 GossipMessage Membership::message(GossipBody Body) const {
   return {this->Self,
           this->Config,
@@ -517,24 +533,23 @@
          Accused->second.State});
 
   // Updates that were sent least often go first.
-  std::vector<std::pair<unsigned, const ProcessKey *>> Order;
-  Order.reserve(this->Rumours.size());
-  for (const auto &[Key, Sends] : this->Rumours)
-    if (!Receiver || Key != *Receiver)
-      Order.emplace_back(Sends, &Key);
-  std::size_t Used = std::min(Order.size(), this->Limits.Piggyback);
-  std::partial_sort(
-      Order.begin(), Order.begin() + static_cast<std::ptrdiff_t>(Used),
-      Order.end(), [](const auto &A, const auto &B) {
-        return std::pair(A.first, *A.second) < std::pair(B.first, *B.second);
-      });
-  unsigned Most = this->retransmissions();
-  for (std::size_t Index = 0; Index < Used; ++Index) {
-    const ProcessKey &Key = *Order[Index].second;
+  std::vector<ProcessKey> Sent;
+  for (const auto &[Sends, Key] : this->RumourOrder) {
+    if (Receiver && Key == *Receiver)
+      continue;
     const Member &Known = this->Members.at(Key);
-    if (Add({Known.Info, Known.Incarnation, Known.State}) &&
-        ++this->Rumours[Key] >= Most)
-      this->Rumours.erase(Key);
+    if (!Add({Known.Info, Known.Incarnation, Known.State}))
+      break;
+    Sent.push_back(Key);
+  }
+  unsigned Most = this->retransmissions();
+  for (const ProcessKey &Key : Sent) {
+    unsigned Sends = this->Rumours.at(Key) + 1;
+    this->dropRumour(Key);
+    if (Sends >= Most)
+      continue;
+    this->Rumours[Key] = Sends;
+    this->RumourOrder.emplace(Sends, Key);
   }
   Out.emplace_back(SendGossip{To, std::move(Message)});
 }
--- a/balsamyard/src/Process/Membership.h
+++ b/balsamyard/src/Process/Membership.h
@@ -292,6 +292,7 @@
   std::optional<Probe> Running;
   std::map<std::uint64_t, Relay> Relays;  ///< By the sequence of the own ping.
   std::map<ProcessKey, unsigned> Rumours; ///< News and how often it was sent.
+  std::set<std::pair<unsigned, ProcessKey>> RumourOrder; ///< Same, in order.
 
   std::uint64_t NextSequence = 1;
   unsigned Health = 0;
@@ -300,6 +301,7 @@
   TimePoint NextDeadProbe{};
   TimePoint NextSeedProbe{};
   TimePoint NextSync{};
+  TimePoint NextForget{};
 
   unsigned Passes = 0; ///< Whole readings of the member list so far.
   unsigned Behind = 0; ///< Answers in a row from peers that know more members.
@@ -336,6 +338,8 @@
   std::vector<const Member *> randomMembers(std::size_t Count,
                                             const ProcessKey *Except,
                                             Draws &Random) const;
+  void passOn(const ProcessKey &Who);
+  void dropRumour(const ProcessKey &Who);
   void suspect(const ProcessKey &Who, TimePoint Now);
   unsigned retransmissions() const;
 };
--- a/tests/ControlSim.h
+++ b/tests/ControlSim.h
@@ -111,6 +111,22 @@
     this->tick(Index, Who.Life);
   }
 
+  /// \brief Starts all processes with full member tables, as after a long run.
+  /// JoinPasses should be 0.
+  void startKnown() {
+    std::vector<MemberUpdate> All;
+    for (std::size_t Index = 0; Index < this->Processes.size(); ++Index) {
+      Process &Who = this->Processes[Index];
+      this->start(Index);
+      All.push_back(Who.Members->self());
+    }
+    for (std::size_t Index = 0; Index < this->Processes.size(); ++Index) {
+      std::size_t Sender = Index == 0 ? 1 : 0;
+      GossipMessage Page{All[Sender], {}, 0, Ack{0, true, true, true}, All};
+      this->feed(Index, GossipReceived{All[Sender].Who.Gossip, Page});
+    }
+  }
+
   /// \brief Ends a process without a word.
   void crash(std::size_t Index) {
     this->Processes[Index].Up = false;
--- /dev/null
+++ b/tests/SettingsTest.cpp
@@ -0,0 +1,108 @@
+#include "balsamyard/src/Process/Settings.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+
+using namespace balsamyard;
+
+namespace {
+
+const std::string Whole = R"([node]
+name = "east-1"
+domain = "east"
+region = "north"
+[listen]
+http = "127.0.0.1:8080"
+peer = "127.0.0.1:7000"
+gossip = "[::1]:7100"
+[platform]
+address = "127.0.0.1:9000"
+[peers]
+seeds = ["127.0.0.1:7101", "127.0.0.1:7102"]
+[limits]
+in_flight = 100
+)";
+
+std::string with(std::string Text, const std::string &From,
+                 const std::string &To) {
+  return Text.replace(Text.find(From), From.size(), To);
+}
+
+} // namespace
+
+// Guards against a process that starts with settings that nobody meant.
+TEST_CASE("an operator writes a settings file", "[settings]") {
+  SECTION("that is complete") {
+    auto Result = parseSettings(Whole);
+    REQUIRE(Result);
+    CHECK(Result->Node.Text == "east-1");
+    CHECK(Result->Gossip == Endpoint{"::1", 7100});
+    CHECK(Result->Seeds.size() == 2);
+    CHECK(Result->InFlight == 100);
+    CHECK(Result->CallerThreads == 64);
+  }
+
+  SECTION("with several faults, which are all named with their place") {
+    std::string Text = with(Whole, "in_flight = 100", "in_flight = 0");
+    Text = with(Text, "domain = \"east\"", "domian = \"east\"");
+    Text = with(Text, "\"127.0.0.1:8080\"", "\"localhost:8080\"");
+    Text = with(Text, "\"127.0.0.1:7102\"", "7102");
+    auto Result = parseSettings(Text);
+    REQUIRE_FALSE(Result);
+    auto Has = [&](Code Value, std::uint32_t Line, std::uint32_t Column) {
+      return std::any_of(Result.error().begin(), Result.error().end(),
+                         [&](const SettingsFault &Fault) {
+                           return Fault.Value == Value && Fault.Line == Line &&
+                                  Fault.Column == Column &&
+                                  Fault.Detail.find("expected") !=
+                                      std::string::npos;
+                         });
+    };
+    CHECK(Result.error().size() == 5);
+    CHECK(Has(Code::SettingsMissingKey, 1, 1));
+    CHECK(Has(Code::SettingsUnknownKey, 3, 1));
+    CHECK(Has(Code::SettingsBadValue, 6, 8));
+    CHECK(Has(Code::SettingsBadValue, 12, 28));
+    CHECK(Has(Code::SettingsBadValue, 14, 13));
+  }
+
+  SECTION("with a syntax error") {
+    auto Result = parseSettings(with(Whole, "[peers]", "[peers"));
+    REQUIRE_FALSE(Result);
+    CHECK(Result.error()[0].Value == Code::SettingsSyntax);
+    CHECK(Result.error()[0].Line == 11);
+  }
+
+  SECTION("with values of a wrong type or form") {
+    auto [From, To] = GENERATE(table<std::string, std::string>(
+        {{"name = \"east-1\"", "name = 7"},
+         {"name = \"east-1\"", "name = \"\""},
+         {"name = \"east-1\"", "name = \"a b\""},
+         {"in_flight = 100", "in_flight = 1.5"},
+         {"in_flight = 100", "in_flight = \"100\""},
+         {"in_flight = 100", "in_flight = 9999999"},
+         {"\"127.0.0.1:9000\"", "\"127.0.0.1\""},
+         {"\"127.0.0.1:9000\"", "\"127.0.0.1:90000\""},
+         {"\"127.0.0.1:9000\"", "\"::1:9000\""},
+         {"[\"127.0.0.1:7101\", \"127.0.0.1:7102\"]", "\"127.0.0.1:7101\""}}));
+    INFO(To);
+    auto Result = parseSettings(with(Whole, From, To));
+    REQUIRE_FALSE(Result);
+    CHECK(Result.error().size() == 1);
+    CHECK(Result.error()[0].Value == Code::SettingsBadValue);
+    CHECK(Result.error()[0].Line > 0);
+  }
+
+  SECTION("with a value where a table belongs, or a table nobody knows") {
+    CHECK(parseSettings("log = 3\n" + Whole).error()[0].Value ==
+          Code::SettingsBadValue);
+    CHECK(parseSettings(Whole + "[extra]\n").error()[0].Value ==
+          Code::SettingsUnknownKey);
+  }
+
+  SECTION("that cannot be read") {
+    auto Result = readSettings("/nonexistent/settings.toml");
+    REQUIRE_FALSE(Result);
+    CHECK(Result.error()[0].Value == Code::SettingsUnreadable);
+  }
+}
