--- a/apps/balsamyard-entry/CallerServer.cpp
+++ b/apps/balsamyard-entry/CallerServer.cpp
@@ -82,7 +82,7 @@
 CallerServer::~CallerServer() {
   if (!this->Listener.joinable())
     return;
-  shutdown(this->ListenSocket, SHUT_RDWR);
+  this->drain();
   this->Listener.join();
 }
 
@@ -93,25 +93,19 @@
   listen(this->ListenSocket, ListenBacklog);
   this->Listener = std::thread([this] {
     this->Server.listen_after_bind();
-    std::lock_guard<std::mutex> Lock(this->EndMutex);
-    this->Ended = true;
-    this->EndChanged.notify_all();
+    this->Pool = nullptr;
+    this->Ended.store(true, std::memory_order_release);
   });
   return {};
 }
 
-bool CallerServer::finish(TimePoint Until) {
+void CallerServer::drain() {
   // Server::stop() would close connections that wait for a thread without
   // serving them. When accept() fails instead, the library ends its loop but
-  // first serves all connections that it has accepted.
-  shutdown(this->ListenSocket, SHUT_RDWR);
-  {
-    std::unique_lock<std::mutex> Lock(this->EndMutex);
-    if (!this->EndChanged.wait_until(Lock, Until, [&] { return this->Ended; }))
-      return false;
-  }
-  this->Listener.join();
-  return true;
+  // first serves all connections that it has accepted. The library closes the
+  // socket itself, so it is shut down only while it listens.
+  if (!this->drained())
+    shutdown(this->ListenSocket, SHUT_RDWR);
 }
 
 void CallerServer::addRoutes() {
--- a/apps/balsamyard-entry/main.cpp
+++ b/apps/balsamyard-entry/main.cpp
@@ -14,11 +14,10 @@
 constexpr std::size_t ClientThreads = 2;
 constexpr std::size_t ServerThreads = 1;
 
-/// Time in which the load balancer notices that this process is leaving.
-constexpr std::chrono::seconds LeaveNotice{2};
-
-/// A stopping process exits within 15 s; one second is left for the threads.
-constexpr std::chrono::seconds StopLimit{14};
+/// A stopping process exits within 15 s; one second is left for ending the
+/// threads.
+constexpr LifecycleTimes StopTimes{std::chrono::seconds(2),
+                                   std::chrono::seconds(14)};
 
 enum ExitStatus { Success = 0, Failure = 1, BadUsage = 2 };
 
@@ -41,22 +40,6 @@
               << ": " << Fault.Detail << '\n';
 }
 
-/// Blocks the signals in all threads, so that only waitForStop() gets them.
-sigset_t blockStopSignals() {
-  std::signal(SIGPIPE, SIG_IGN);
-  sigset_t Signals;
-  sigemptyset(&Signals);
-  sigaddset(&Signals, SIGTERM);
-  sigaddset(&Signals, SIGINT);
-  pthread_sigmask(SIG_BLOCK, &Signals, nullptr);
-  return Signals;
-}
-
-void waitForStop(const sigset_t &Signals) {
-  int Received = 0;
-  sigwait(&Signals, &Received);
-}
-
 /// Keeps the index up to date with the routing view.
 class IndexUpdater {
 public:
@@ -91,7 +74,8 @@
 }
 
 ExitStatus run(const Settings &Own) {
-  const sigset_t Signals = blockStopSignals();
+  std::signal(SIGPIPE, SIG_IGN);
+  blockStopSignals();
   openLog("entry", Own.Node, Own.Domain, Own.LogFile);
   EntryState State(Own);
   PeerClient Peers(ClientThreads);
@@ -137,13 +121,15 @@
             {"peer", toText((*Control)->local())},
             {"software", std::string(BALSAMYARD_VERSION)}});
 
-  waitForStop(Signals);
-  const TimePoint StopBy = steadyNow() + StopLimit;
-  logEvent(LogLevel::Info, "process-leaving", {});
-  State.Stopping.store(true, std::memory_order_relaxed);
-  Agent.leave();
-  std::this_thread::sleep_for(LeaveNotice);
-  if (!Callers.finish(StopBy)) {
+  LifecycleHooks Hooks;
+  Hooks.OnLeaving = [&] {
+    logEvent(LogLevel::Info, "process-leaving", {});
+    State.Stopping.store(true, std::memory_order_relaxed);
+    Agent.leave();
+  };
+  Hooks.OnDraining = [&] { Callers.drain(); };
+  Hooks.IsIdle = [&] { return Callers.drained(); };
+  if (!runLifecycle(Hooks, StopTimes)) {
     logEvent(LogLevel::Error, "stop-cut-off",
              {{"in_flight", std::int64_t(State.InFlight.count())}});
     // Threads that are still in a request cannot be joined in time.
--- a/balsamyard/src/Process/ShareKeeper.h
+++ b/balsamyard/src/Process/ShareKeeper.h
@@ -17,6 +17,10 @@
 struct OwnedShares : RefCounted<OwnedShares> {
   std::set<LaneKey> Lanes;
   std::set<std::size_t> Gates;
+
+  /// The newest share table. Lanes that are listed under this node but may not
+  /// be used now have no owner here.
+  ShareTable Shares;
   GateTable Table; ///< Tells since when the gates are owned.
 };
 
--- a/balsamyard/src/Version/ServiceIndex.cpp
+++ b/balsamyard/src/Version/ServiceIndex.cpp
@@ -86,7 +86,7 @@
     if (!this->View.usable(this->Catalog.Name, Leaf, Slot))
       return;
     const std::uint32_t Lanes = this->laneSet(Leaf, Slot.Domain);
-    if (this->Index->LaneSets[Lanes].Count == 0)
+    if (this->Index->OwnerSets[Lanes].Count == 0)
       return;
     Routes.Slots.push_back(
         {Slot.Index, this->distance(Slot.Domain), Lanes,
@@ -99,14 +99,15 @@
     const GroupKey Group = groupOf(this->Catalog.Name, Leaf);
     auto [Entry, Added] = this->SetOf.try_emplace(
         {Group.Group, Domain},
-        static_cast<std::uint32_t>(this->Index->LaneSets.size()));
+        static_cast<std::uint32_t>(this->Index->OwnerSets.size()));
     if (Added)
-      this->Index->LaneSets.push_back(this->makeLaneSet(Group, Domain));
+      this->Index->OwnerSets.push_back(this->makeLaneSet(Group, Domain));
     return Entry->second;
   }
 
-  LaneSet makeLaneSet(const GroupKey &Group, const DomainName &Domain) {
-    LaneSet Set{static_cast<std::uint32_t>(this->Index->LaneHolders.size()), 0};
+  LaneOwners makeLaneSet(const GroupKey &Group, const DomainName &Domain) {
+    LaneOwners Set{static_cast<std::uint32_t>(this->Index->LaneHolders.size()),
+                   0};
     auto Table = this->View.Shares.find(Domain);
     const std::vector<NodeName> *Owners = Table == this->View.Shares.end()
                                               ? nullptr
