--- a/apps/balsamyard-holder/GateService.cpp
+++ b/apps/balsamyard-holder/GateService.cpp
@@ -131,7 +131,7 @@
     std::lock_guard<std::mutex> Lock(this->OwnedMutex);
     this->Owned = makeRef<const OwnedShares>(Owned);
   }
-  const GateTable &Table = Owned.Writers;
+  const GateTable &Table = Owned.Table;
   if (Table.Version == 0)
     return;
   for (std::size_t Number = 0; Number < WriteGateCount; ++Number) {
