--- a/apps/balsamyard-replay/Driver.cpp
+++ b/apps/balsamyard-replay/Driver.cpp
@@ -1,7 +1,6 @@
 #include "apps/balsamyard-replay/Driver.h"
 
-#include "balsamyard/src/Process/PlatformClient.h"
-#include "balsamyard/src/Version/RulesDelta.h"
+#include "balsamyard/src/Process/RulesStore.h"
 
 #include <atomic>
 #include <boost/random/mersenne_twister.hpp>
@@ -34,8 +33,6 @@
 constexpr std::chrono::milliseconds CommandTimeout(5000);
 constexpr std::chrono::milliseconds ReportInterval(1000);
 
-/// Largest value of a platform object that holds a part of the rules.
-constexpr std::size_t RulesPartBytes = 900000;
 constexpr int RulesAttempts = 3;
 
 void setTimeouts(httplib::Client &Client, std::chrono::milliseconds Connect,
@@ -182,37 +179,22 @@
   bool Stopped = false;
 };
 
-/// \returns whether the value was stored now or before.
-bool storePart(PlatformClient &Platform, const std::string &Part) {
-  auto Created = Platform.create("rules-part/" + digestOf(Part), Part);
-  return Created || Created.error().Value == Code::PlatformConflict;
-}
-
 Expected<void> applyRules(const Endpoint &At, const std::string &Text) {
   PlatformClient Platform(At, CommandTimeout);
-  nlohmann::json Head = {{"parts", nlohmann::json::array()},
-                         {"digest", digestOf(Text)}};
-  for (std::size_t From = 0; From < Text.size(); From += RulesPartBytes) {
-    std::string Part = Text.substr(From, RulesPartBytes);
-    if (!storePart(Platform, Part))
-      return fail(Code::PlatformUnavailable,
-                  "cannot store a part of the rules");
-    Head["parts"].push_back(digestOf(Part));
-  }
-  const std::string Name = "shared/rules/head";
-  Error Last{Code::PlatformUnavailable, ""};
+  RulesStore Store(Platform);
   for (int Attempt = 0; Attempt < RulesAttempts; ++Attempt) {
-    Expected<PlatformObject> Old = Platform.get(Name);
-    Expected<std::uint64_t> Stored =
-        Old ? Platform.update(Name, Head.dump(), Old->Version)
-        : Old.error().Value == Code::ObjectAbsent
-            ? Platform.create(Name, Head.dump())
-            : Expected<std::uint64_t>(tl::unexpected(Old.error()));
-    if (Stored)
+    Expected<StoredRules> Current = Store.read();
+    if (!Current)
+      return tl::unexpected(Current.error());
+    Expected<ApplyResult> Result = Store.apply(Text, Current->Version);
+    if (!Result)
+      return tl::unexpected(Result.error());
+    if (std::holds_alternative<RulesAccepted>(*Result))
       return {};
-    Last = Stored.error();
+    if (const auto *Unclear = std::get_if<RulesUnclear>(&*Result))
+      return fail(Code::PlatformUnavailable, Unclear->Detail);
   }
-  return tl::unexpected(Last);
+  return fail(Code::PlatformConflict, "the rules were changed meanwhile");
 }
 
 Expected<void> post(const ReplayFault &Fault) {
