Run judge and moves in the holder process

Cause: the decisions of a move need a lease, the counts of all holders and the platform; the routing view has no division of the traffic without the state. Ruled out: reading the state on every node all the time (only the judge and holders of a running move read it); calling the platform before judging (a rollback would wait for its time-out). Change: MoveKeeper; the control agent publishes the state documents as splits, and a notice of a rollback counts only for the rule that it names; the holder sends its counts each second to the judge. Faults of rules are logged without the word expected twice. Conclusion: built and wired; covered by the tests of the decisions, a run over loopback is not part of this commit.

--- a/apps/balsamyard-holder/main.cpp
+++ b/apps/balsamyard-holder/main.cpp
@@ -2,6 +2,7 @@
 #include "apps/balsamyard-holder/SearchService.h"
 #include "apps/balsamyard-holder/StatusServer.h"
 #include "apps/balsamyard-holder/Ticker.h"
+#include "balsamyard/src/Process/MoveKeeper.h"
 
 #include <csignal>
 #include <cxxopts.hpp>
@@ -25,6 +26,9 @@
 /// Lanes and gates are given away within this time of the 15 s of a stop.
 constexpr Duration GiveAwayTime = std::chrono::seconds(12);
 
+/// Counts are sent each second; later they are of no more use.
+constexpr Duration EvidenceTimeout = std::chrono::seconds(2);
+
 enum ExitStatus { Success = 0, Failure = 1, BadUsage = 2 };
 
 /// \brief Wires the parts of the process.
@@ -34,7 +38,8 @@
       : Peers(ClientThreads), Agent(Own, ProcessRole::Holder, Peers),
         State(Own, Peers, Agent), Slots(State), Searches(State, Slots),
         Gates(State, Slots), Status(State, Slots, Gates),
-        Keeper(Own, Agent.platform(), this->shareHandlers()) {}
+        Keeper(Own, Agent.platform(), this->shareHandlers()),
+        Moves(Own, Agent.platform(), this->moveHandlers()) {}
 
   ~HolderProcess() {
     // Tasks on the pools use the other parts and end by their deadlines.
@@ -63,6 +68,7 @@
     if (Expected<void> Started = this->Agent.start(); !Started)
       return Started;
     this->Keeper.start();
+    this->Moves.start();
     this->Expiry = std::make_unique<Ticker>(ExpirePeriod,
                                             [this] { this->Slots.expire(); });
     this->GateTicks = std::make_unique<Ticker>(WriteGate::TickPeriod,
@@ -111,6 +117,7 @@
       this->Server->drain();
     this->Health.reset();
     this->GateTicks.reset();
+    this->Moves.stop();
     this->Keeper.stop();
     this->Agent.stop();
     this->Status.stop();
@@ -133,6 +140,22 @@
     return Result;
   }
 
+  MoveHandlers moveHandlers() {
+    MoveHandlers Result;
+    Result.View = [this] { return this->Agent.view().read(); };
+    Result.Counts = [this] { return this->State.Evidence.read(); };
+    Result.Send = [this](const Endpoint &To, const Evidence &Counts) {
+      // Counts are cumulative, so a lost message is made good by the next.
+      this->Peers.call(
+          To, "/v1/evidence", encode(Counts), EvidenceTimeout,
+          [](const std::string &) {}, [](Code, bool) {});
+    };
+    Result.Announce = [this](const VersionTakenBack &Body) {
+      this->Agent.notify(Body);
+    };
+    return Result;
+  }
+
   void updateSlots() {
     // Read inside the lock, so that two changes are applied in order.
     std::lock_guard<std::mutex> Lock(this->UpdateMutex);
@@ -174,16 +197,17 @@
         this->Process.State.Poison.apply(
             QuarantineNoticed{Found.Print, Found.Remaining}, steadyNow());
       }
-      void operator()(const VersionTakenBack &) const {}
+      void operator()(const VersionTakenBack &Back) const {
+        this->Process.Moves.receive(Back);
+      }
     };
     std::visit(Visitor{*this}, News.Body);
   }
 
-  /// Evidence is taken in by the judge of a move, which is not part of this
-  /// process yet.
   void onEvidence(const Evidence &Counts) {
     this->State.Numbers.add("balsamyard_evidence_received_total",
                             "service=\"" + Counts.Service.Text + "\"");
+    this->Moves.receive(Counts);
   }
 
   PeerClient Peers;
@@ -194,6 +218,7 @@
   GateService Gates;
   StatusServer Status;
   ShareKeeper Keeper;
+  MoveKeeper Moves;
   std::mutex UpdateMutex;
   std::unique_ptr<PeerServer> Server;
   std::unique_ptr<Ticker> Expiry;
--- a/balsamyard/src/Process/ControlAgent.cpp
+++ b/balsamyard/src/Process/ControlAgent.cpp
@@ -6,6 +6,7 @@
 #include "balsamyard/src/Process/GossipCodec.h"
 #include "balsamyard/src/Process/Log.h"
 #include "balsamyard/src/Version/RulesDelta.h"
+#include "balsamyard/src/Version/VersionMove.h"
 
 #include <array>
 #include <asio.hpp>
@@ -67,8 +68,8 @@
 }
 
 /// A document in the form that requests use.
-using ParsedDocument =
-    std::variant<std::monostate, Rules, ServiceCatalog, ShareTable, GateTable>;
+using ParsedDocument = std::variant<std::monostate, Rules, ServiceCatalog,
+                                    ShareTable, GateTable, MoveState>;
 
 template <typename T> Expected<ParsedDocument> widen(Expected<T> Value) {
   if (!Value)
@@ -85,7 +86,7 @@
     const RuleFault &First = Parsed.error().front();
     return fail(First.Value, "line " + std::to_string(First.Line) +
                                  ", column " + std::to_string(First.Column) +
-                                 ": expected " + First.Expectation);
+                                 ": " + First.Expectation);
   }
   if (Name == "gates")
     return widen(parseGateTable(Text));
@@ -93,6 +94,8 @@
     return widen(parseCatalog(Text));
   if (Name.starts_with("shares/"))
     return widen(parseShareTable(Text));
+  if (Name.starts_with("moves/"))
+    return widen(parseMoveState(Text));
   return ParsedDocument();
 }
 
@@ -560,13 +563,19 @@
                    [&](const ShareTable &Value) {
                      Next->Shares[Value.Domain] = Value;
                    },
-                   [&](const GateTable &Value) { Next->Gates = Value; }},
+                   [&](const GateTable &Value) { Next->Gates = Value; },
+                   [&](const MoveState &Value) {
+                     RouteKey Route{Value.Service, Value.Route};
+                     TrafficSplit &Split = Next->Splits[Route];
+                     Split = splitOf(Value);
+                     // The notice arrives before the document, and counts only
+                     // for the rule that it names.
+                     auto Back = TakenBack.find(Route);
+                     if (Back != TakenBack.end() &&
+                         Back->second.RuleVersion == moveRuleNumber(Value.Rule))
+                       Split = {Value.From, Value.To, 0};
+                   }},
           Document);
-    for (const auto &[Route, Back] : TakenBack) {
-      auto Split = Next->Splits.find(Route);
-      if (Split != Next->Splits.end() && Split->second.Next == Back.Version)
-        Split->second.NextShare = 0;
-    }
     this->View.publish(Next);
     for (const auto &Handler : Handlers)
       Handler(Next);
--- /dev/null
+++ b/balsamyard/src/Process/MoveKeeper.cpp
@@ -0,0 +1,459 @@
+#include "balsamyard/src/Process/MoveKeeper.h"
+
+#include "balsamyard/src/Process/Log.h"
+#include "balsamyard/src/Version/SharePlan.h"
+#include "balsamyard/src/Version/internal/JsonObject.h"
+
+#include <algorithm>
+#include <condition_variable>
+#include <mutex>
+#include <set>
+#include <thread>
+
+namespace balsamyard {
+
+namespace {
+
+constexpr Duration TickPause = std::chrono::seconds(1);
+
+/// Pause of all calls after the platform did not answer, so that waiting for it
+/// does not delay the judgement.
+constexpr Duration PlatformPause = std::chrono::seconds(5);
+
+/// Raises the threshold of a judge that is one of about 100: e^4.6.
+constexpr double LocalCaution = 4.6;
+
+/// Bounds the memory for counts that arrive between two ticks.
+constexpr std::size_t MaxInbox = 100000;
+
+std::string stateName(const RouteKey &Route) {
+  return "shared/moves/" + Route.Service.Text + "/" + Route.Route.Text;
+}
+
+std::string leaseName(const ServiceName &Service) {
+  return "leases/moves/" + Service.Text;
+}
+
+std::string leaseText(const NodeName &Node, std::uint64_t Epoch) {
+  return internal::Json({{"node", Node.Text}, {"epoch", Epoch}}).dump() + "\n";
+}
+
+struct LeaseValue {
+  NodeName Node;
+  std::uint64_t Epoch = 0;
+};
+
+Expected<LeaseValue> parseLease(std::string_view Text) {
+  Expected<internal::Json> Document = internal::parseJson(Text);
+  if (!Document)
+    return tl::unexpected<Error>(Document.error());
+  internal::JsonFaults Faults;
+  LeaseValue Value;
+  {
+    internal::JsonObject Top(*Document, "", Faults);
+    Value.Node = Top.name<NodeName>("node");
+    Value.Epoch = Top.number<std::uint64_t>("epoch");
+  }
+  if (!Faults.none())
+    return Faults.error();
+  return Value;
+}
+
+/// \returns the version that most slots of the service have, besides \p To.
+VersionName currentVersion(const ServiceCatalog &Catalog,
+                           const VersionName &To) {
+  std::map<VersionName, std::size_t> Slots;
+  for (const CatalogLeaf &Leaf : Catalog.Leaves)
+    for (const CatalogSlot &Slot : Leaf.Slots)
+      if (Slot.Version != To)
+        ++Slots[Slot.Version];
+  auto Most = std::max_element(
+      Slots.begin(), Slots.end(),
+      [](const auto &A, const auto &B) { return A.second < B.second; });
+  return Most == Slots.end() ? VersionName{} : Most->first;
+}
+
+} // namespace
+
+struct MoveKeeper::Impl {
+  Impl(const Settings &Own, PlatformClient &Platform, MoveHandlers Handlers)
+      : Own(Own), Platform(Platform), Handlers(std::move(Handlers)) {}
+
+  /// One route with a rule.
+  struct Entry {
+    std::string RuleId;
+    bool MustRead = true;
+    bool IsAbsent = false;
+    std::optional<MoveState> Read; ///< Newest read or written.
+    std::optional<VersionMove> Local;
+    std::optional<VersionMove> Lead; ///< Only where this node is the judge.
+    std::optional<WriteMove> Pending;
+  };
+
+  const Settings Own;
+  PlatformClient &Platform;
+  const MoveHandlers Handlers;
+
+  // Used by the thread of the keeper only.
+  std::map<RouteKey, Entry> Moves;
+  std::map<ServiceName, MoveLease> Leases;
+  TimePoint PlatformNotBefore{};
+
+  std::mutex Mutex;
+  std::condition_variable Woken;
+  bool Stopping = false;
+  std::vector<Evidence> InCounts;
+  std::vector<VersionTakenBack> InNotices;
+  std::thread Thread;
+
+  void run();
+  void tick();
+  void judge(const RoutingView &View, TimePoint Now);
+  void handle(const RouteKey &Route, Entry &Move, VersionMove &Part,
+              const MoveEvent &Event);
+  void learn(const RouteKey &Route, Entry &Move, const MoveState &State);
+  void build(const RoutingView &View, const RouteKey &Route,
+             const MoveRule &Rule, Entry &Move, bool Leads);
+  void usePlatform(const RoutingView &View, TimePoint Now);
+  void readState(const RouteKey &Route, Entry &Move);
+  void writeState(const RouteKey &Route, Entry &Move);
+  void keepLease(const ServiceName &Service, TimePoint Now);
+  void takeBackWithoutRule(const RouteKey &Route);
+  bool mayCall() const { return steadyNow() >= this->PlatformNotBefore; }
+  template <typename T> const Expected<T> &note(const Expected<T> &Result);
+
+  static bool isUnderWay(const RoutingView &View, const RouteKey &Route);
+  std::set<NodeName> aliveNodes(const RoutingView &View) const;
+  const NodeInfo *judgeOf(const RoutingView &View,
+                          const ServiceName &Service) const;
+  bool isJudge(const RoutingView &View, const ServiceName &Service) const;
+};
+
+template <typename T>
+const Expected<T> &MoveKeeper::Impl::note(const Expected<T> &Result) {
+  if (!Result && Result.error().Value == Code::PlatformUnavailable)
+    this->PlatformNotBefore = steadyNow() + PlatformPause;
+  return Result;
+}
+
+bool MoveKeeper::Impl::isUnderWay(const RoutingView &View,
+                                  const RouteKey &Route) {
+  auto Split = View.Splits.find(Route);
+  return Split != View.Splits.end() && Split->second.NextShare > 0;
+}
+
+std::set<NodeName> MoveKeeper::Impl::aliveNodes(const RoutingView &View) const {
+  std::set<NodeName> Alive{this->Own.Node};
+  for (const auto &[Name, Node] : View.Nodes)
+    if (Node.Alive && !Node.Leaving)
+      Alive.insert(Name);
+  return Alive;
+}
+
+const NodeInfo *MoveKeeper::Impl::judgeOf(const RoutingView &View,
+                                          const ServiceName &Service) const {
+  std::set<NodeName> Alive = this->aliveNodes(View);
+  for (const NodeName &Node : Alive)
+    if (rankFor(Node, Alive, leaseName(Service)) == 0)
+      return View.node(Node);
+  return nullptr;
+}
+
+bool MoveKeeper::Impl::isJudge(const RoutingView &View,
+                               const ServiceName &Service) const {
+  return rankFor(this->Own.Node, this->aliveNodes(View), leaseName(Service)) ==
+         0;
+}
+
+void MoveKeeper::Impl::handle(const RouteKey &Route, Entry &Move,
+                              VersionMove &Part, const MoveEvent &Event) {
+  for (MoveEffect &Effect : Part.handle(Event)) {
+    if (auto *Write = std::get_if<WriteMove>(&Effect)) {
+      Move.Pending = std::move(*Write);
+      continue;
+    }
+    const VersionTakenBack &Body = std::get<AnnounceTakenBack>(Effect).Body;
+    logEvent(LogLevel::Warning, "version-taken-back",
+             {{"service", Route.Service.Text},
+              {"route", Route.Route.Text},
+              {"version", Body.Version.Text},
+              {"detail", Body.Reason}});
+    this->Handlers.Announce(Body);
+  }
+}
+
+void MoveKeeper::Impl::learn(const RouteKey &Route, Entry &Move,
+                             const MoveState &State) {
+  Move.Read = State;
+  Move.IsAbsent = false;
+  if (Move.Local)
+    this->handle(Route, Move, *Move.Local, MoveLoaded{State});
+  if (Move.Lead)
+    this->handle(Route, Move, *Move.Lead, MoveLoaded{State});
+}
+
+void MoveKeeper::Impl::build(const RoutingView &View, const RouteKey &Route,
+                             const MoveRule &Rule, Entry &Move, bool Leads) {
+  if (Move.MustRead)
+    return;
+  VersionName From;
+  if (!Move.Read)
+    From = currentVersion(View.Services.at(Route.Service), Rule.To);
+  else if (Move.Read->Rule == Move.RuleId)
+    From = Move.Read->From;
+  else
+    From = splitOf(*Move.Read).Current;
+  auto Start = [&](std::optional<VersionMove> &Part, double Caution) {
+    Part.emplace(this->Own.Node, Route, Rule, From, Caution);
+    if (Move.Read)
+      Part->handle(MoveLoaded{*Move.Read});
+    else
+      Part->handle(MoveAbsent{});
+  };
+  if (!Move.Local)
+    Start(Move.Local, LocalCaution);
+  if (!Leads)
+    Move.Lead.reset();
+  else if (!Move.Lead && !From.empty() && From != Rule.To)
+    Start(Move.Lead, 0);
+}
+
+void MoveKeeper::Impl::judge(const RoutingView &View, TimePoint Now) {
+  std::vector<Evidence> Counts;
+  std::vector<VersionTakenBack> Notices;
+  {
+    std::lock_guard<std::mutex> Lock(this->Mutex);
+    Counts.swap(this->InCounts);
+    Notices.swap(this->InNotices);
+  }
+  for (const Evidence &Item : this->Handlers.Counts()) {
+    RouteKey Route{Item.Service, Item.Route};
+    auto Found = this->Moves.find(Route);
+    if (Found == this->Moves.end())
+      continue;
+    if (Found->second.Local)
+      Found->second.Local->handle(MoveCounts{Item});
+    if (!isUnderWay(View, Route))
+      continue;
+    if (this->isJudge(View, Item.Service))
+      Counts.push_back(Item);
+    else if (const NodeInfo *Judge = this->judgeOf(View, Item.Service))
+      this->Handlers.Send(Judge->Peer, Item);
+  }
+  for (const Evidence &Item : Counts) {
+    auto Found = this->Moves.find({Item.Service, Item.Route});
+    if (Found != this->Moves.end() && Found->second.Lead)
+      Found->second.Lead->handle(MoveCounts{Item});
+  }
+  for (const VersionTakenBack &News : Notices) {
+    auto Found = this->Moves.find({News.Service, News.Route});
+    if (Found != this->Moves.end() && Found->second.Lead &&
+        moveRuleNumber(Found->second.RuleId) == News.RuleVersion)
+      this->handle(Found->first, Found->second, *Found->second.Lead,
+                   MoveTakenBackElsewhere{News.Reason});
+  }
+  for (auto &[Route, Move] : this->Moves) {
+    MoveTick Tick{Now, wallNow(), false, 0};
+    if (Move.Local && isUnderWay(View, Route))
+      this->handle(Route, Move, *Move.Local, Tick);
+    if (!Move.Lead)
+      continue;
+    auto Lease = this->Leases.find(Route.Service);
+    if (Lease != this->Leases.end()) {
+      Tick.Leads = Lease->second.holds(steadyNow());
+      Tick.Epoch = Lease->second.epoch();
+    }
+    this->handle(Route, Move, *Move.Lead, Tick);
+  }
+}
+
+void MoveKeeper::Impl::readState(const RouteKey &Route, Entry &Move) {
+  Expected<PlatformObject> Read =
+      this->note(this->Platform.get(stateName(Route)));
+  if (!Read) {
+    Move.IsAbsent = Read.error().Value == Code::ObjectAbsent;
+    Move.MustRead = !Move.IsAbsent;
+    return;
+  }
+  Expected<MoveState> State = parseMoveState(Read->Value);
+  if (!State) {
+    logEvent(LogLevel::Error, "move-state-malformed",
+             {{"service", Route.Service.Text},
+              {"route", Route.Route.Text},
+              {"code", State.error().Value},
+              {"detail", State.error().Detail}});
+    return;
+  }
+  State->Version = Read->Version;
+  Move.MustRead = false;
+  this->learn(Route, Move, *State);
+}
+
+void MoveKeeper::Impl::writeState(const RouteKey &Route, Entry &Move) {
+  MoveState Next = std::move(Move.Pending->State);
+  Move.Pending.reset();
+  Expected<std::uint64_t> Written = this->note(
+      Next.Version
+          ? this->Platform.update(stateName(Route), toJson(Next), Next.Version)
+          : this->Platform.create(stateName(Route), toJson(Next)));
+  if (!Written) {
+    // Another process was first, or the result is unclear.
+    Move.MustRead = true;
+    return;
+  }
+  Next.Version = *Written;
+  logEvent(LogLevel::Info, "move-changed",
+           {{"service", Route.Service.Text},
+            {"route", Route.Route.Text},
+            {"version", Next.To.Text},
+            {"state", std::string(toText(Next.Status))},
+            {"share", Next.Share},
+            {"detail", Next.Reason}});
+  this->learn(Route, Move, Next);
+}
+
+void MoveKeeper::Impl::keepLease(const ServiceName &Service, TimePoint Now) {
+  MoveLease &Lease =
+      this->Leases.try_emplace(Service, MoveLease(this->Own.Node))
+          .first->second;
+  const std::string Name = leaseName(Service);
+  if (Lease.mustRead(Now)) {
+    Expected<PlatformObject> Read = this->note(this->Platform.get(Name));
+    if (Read) {
+      // A lease that nobody can read is free after its time, like any other.
+      LeaseValue Value = parseLease(Read->Value).value_or(LeaseValue{});
+      Lease.seen(Value.Node, Value.Epoch, Read->Version, steadyNow());
+    } else if (Read.error().Value == Code::ObjectAbsent) {
+      Lease.seenAbsent(steadyNow());
+    } else {
+      return;
+    }
+  }
+  TimePoint SentAt = steadyNow();
+  std::optional<std::uint64_t> Epoch = Lease.due(SentAt);
+  if (!Epoch)
+    return;
+  const std::string Text = leaseText(this->Own.Node, *Epoch);
+  Expected<std::uint64_t> Written = this->note(
+      Lease.version() ? this->Platform.update(Name, Text, Lease.version())
+                      : this->Platform.create(Name, Text));
+  if (Written)
+    Lease.written(*Epoch, *Written, SentAt);
+  else
+    Lease.lost();
+}
+
+void MoveKeeper::Impl::takeBackWithoutRule(const RouteKey &Route) {
+  Expected<PlatformObject> Read =
+      this->note(this->Platform.get(stateName(Route)));
+  if (!Read)
+    return;
+  Expected<MoveState> State = parseMoveState(Read->Value);
+  if (!State || State->Status != MoveStatus::UnderWay)
+    return;
+  State->Status = MoveStatus::TakenBack;
+  State->Reason = "the rule was removed";
+  State->Share = 0;
+  State->Judge = this->Own.Node;
+  // A conflict means that another process was first.
+  this->note(
+      this->Platform.update(stateName(Route), toJson(*State), Read->Version));
+}
+
+void MoveKeeper::Impl::usePlatform(const RoutingView &View, TimePoint Now) {
+  std::set<ServiceName> Led;
+  for (auto &[Route, Move] : this->Moves) {
+    bool Leads = this->isJudge(View, Route.Service);
+    const MoveRule *Rule =
+        View.Configuration.moveFor(Route.Service, Route.Route);
+    bool Ended = Move.Read && Move.Read->Rule == Move.RuleId &&
+                 Move.Read->Status != MoveStatus::UnderWay;
+    if (Leads && !Ended)
+      Led.insert(Route.Service);
+    // The judge creates the state later than this process may have read it.
+    if (Move.IsAbsent && isUnderWay(View, Route))
+      Move.MustRead = true;
+    bool Needed = Leads || isUnderWay(View, Route);
+    if (Move.MustRead && Needed && this->mayCall())
+      this->readState(Route, Move);
+    if (Rule)
+      this->build(View, Route, *Rule, Move, Leads);
+    if (Move.Pending && !Move.MustRead && this->mayCall())
+      this->writeState(Route, Move);
+  }
+  for (const ServiceName &Service : Led)
+    if (this->mayCall())
+      this->keepLease(Service, Now);
+  for (const auto &[Route, Split] : View.Splits)
+    if (Split.NextShare > 0 && !this->Moves.contains(Route) &&
+        this->isJudge(View, Route.Service) && this->mayCall())
+      this->takeBackWithoutRule(Route);
+}
+
+void MoveKeeper::Impl::tick() {
+  Ref<const RoutingView> View = this->Handlers.View();
+  if (!View->Ready)
+    return;
+  std::map<RouteKey, std::string> Wanted;
+  for (const auto &[Service, Catalog] : View->Services)
+    for (const RouteName &Route : Catalog.Routes)
+      if (const MoveRule *Rule = View->Configuration.moveFor(Service, Route))
+        Wanted[{Service, Route}] = moveRuleId(*Rule);
+  std::erase_if(this->Moves, [&](const auto &Item) {
+    auto Found = Wanted.find(Item.first);
+    return Found == Wanted.end() || Found->second != Item.second.RuleId;
+  });
+  for (const auto &[Route, RuleId] : Wanted)
+    this->Moves[Route].RuleId = RuleId;
+  TimePoint Now = steadyNow();
+  // First what needs no platform, so that a rollback never waits for it.
+  this->judge(*View, Now);
+  this->usePlatform(*View, Now);
+}
+
+void MoveKeeper::Impl::run() {
+  std::unique_lock<std::mutex> Lock(this->Mutex);
+  while (!this->Stopping) {
+    TimePoint Due = steadyNow() + TickPause;
+    Lock.unlock();
+    this->tick();
+    Lock.lock();
+    this->Woken.wait_until(Lock, Due, [this] { return this->Stopping; });
+  }
+}
+
+MoveKeeper::MoveKeeper(const Settings &Own, PlatformClient &Platform,
+                       MoveHandlers Handlers)
+    : Implementation(
+          std::make_unique<Impl>(Own, Platform, std::move(Handlers))) {}
+
+MoveKeeper::~MoveKeeper() { this->stop(); }
+
+void MoveKeeper::start() {
+  this->Implementation->Thread =
+      std::thread([Keeper = this->Implementation.get()] { Keeper->run(); });
+}
+
+void MoveKeeper::receive(const Evidence &Counts) {
+  std::lock_guard<std::mutex> Lock(this->Implementation->Mutex);
+  if (this->Implementation->InCounts.size() < MaxInbox)
+    this->Implementation->InCounts.push_back(Counts);
+}
+
+void MoveKeeper::receive(const VersionTakenBack &News) {
+  std::lock_guard<std::mutex> Lock(this->Implementation->Mutex);
+  if (this->Implementation->InNotices.size() < MaxInbox)
+    this->Implementation->InNotices.push_back(News);
+}
+
+void MoveKeeper::stop() {
+  {
+    std::lock_guard<std::mutex> Lock(this->Implementation->Mutex);
+    this->Implementation->Stopping = true;
+    this->Implementation->Woken.notify_all();
+  }
+  if (this->Implementation->Thread.joinable())
+    this->Implementation->Thread.join();
+}
+
+} // namespace balsamyard
