--- /dev/null
+++ b/tests/KeeperTest.cpp
@@ -0,0 +1,182 @@
+#include "balsamyard/src/Process/MoveKeeper.h"
+#include "balsamyard/src/Process/ShareKeeper.h"
+#include "tests/LocalPlatform.h"
+
+#include <atomic>
+#include <catch2/catch.hpp>
+
+using namespace balsamyard;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Duration Patience = 20s;
+
+/// Waits until \p Condition holds; looks every 50 ms.
+template <typename Test> bool eventually(Test Condition) {
+  for (TimePoint End = steadyNow() + Patience; steadyNow() < End;) {
+    if (Condition())
+      return true;
+    std::this_thread::sleep_for(50ms);
+  }
+  return false;
+}
+
+Settings settingsOf(const std::string &Node) {
+  Settings Own;
+  Own.Node = {Node};
+  Own.Domain = {"east"};
+  return Own;
+}
+
+/// Builds the views of a failure domain from the platform's objects.
+class Spread {
+public:
+  explicit Spread(const Endpoint &At) : Client(At, 2s) {}
+
+  Ref<const RoutingView> view() {
+    auto View = makeRef<RoutingView>();
+    View->Ready = true;
+    ServiceCatalog &Catalog = View->Services[{"depot"}];
+    Catalog.Name = {"depot"};
+    Catalog.Routes = {{"find"}};
+    Catalog.Leaves = {
+        {0, {{0, {"east"}, {"v1"}, {"127.0.0.1", 1}, 30, 4, false}}},
+        {40, {{0, {"east"}, {"v2"}, {"127.0.0.1", 1}, 30, 4, false}}}};
+    for (const char *Node : {"east-1", "east-2"})
+      if (std::string(Node) == "east-1" || this->SecondAlive)
+        View->Nodes[{Node}] = {{Node}, {"east"}, {"north"}, {}, true, false};
+    if (auto Object = this->Client.get("shared/shares/east")) {
+      View->Shares[{"east"}] = *parseShareTable(Object->Value);
+      View->Shares[{"east"}].Version = Object->Version;
+    }
+    if (auto Object = this->Client.get("shared/gates")) {
+      View->Gates = *parseGateTable(Object->Value);
+      View->Gates.Version = Object->Version;
+    }
+    if (auto Object = this->Client.get("shared/moves/depot/find"))
+      View->Splits[{{"depot"}, {"find"}}] =
+          splitOf(*parseMoveState(Object->Value));
+    View->Configuration =
+        parseRules("move service=depot to=v2 by=2099-01-01T00:00:00Z # Ada\n")
+            .value();
+    return View;
+  }
+
+  PlatformClient Client;
+  std::atomic<bool> SecondAlive{false};
+};
+
+} // namespace
+
+// Guards against keepers that leave lanes unused or shared when they run
+// against a platform that loses answers.
+TEST_CASE("holder processes share the lanes through the platform", "[keeper]") {
+  LocalPlatform Platform;
+  Spread News(Platform.At);
+  PlatformClient FirstClient(Platform.At, 2s);
+  PlatformClient SecondClient(Platform.At, 2s);
+  std::atomic<int> Stopped{0};
+  auto HandlersFor = [&](bool Count) {
+    ShareHandlers Handlers;
+    Handlers.View = [&News] { return News.view(); };
+    if (Count)
+      Handlers.StopLanes = [&Stopped](const std::vector<LaneKey> &Lanes) {
+        Stopped += static_cast<int>(Lanes.size());
+      };
+    return Handlers;
+  };
+  ShareKeeper First(settingsOf("east-1"), FirstClient, HandlersFor(true));
+  ShareKeeper Second(settingsOf("east-2"), SecondClient, HandlersFor(false));
+  auto Lanes = [](const ShareKeeper &Keeper) {
+    return Keeper.owned().read()->Lanes.size();
+  };
+  auto Gates = [](const ShareKeeper &Keeper) {
+    return Keeper.owned().read()->Gates.size();
+  };
+
+  // Two groups with four lanes each.
+  First.start();
+  REQUIRE(eventually(
+      [&] { return Lanes(First) == 8 && Gates(First) == WriteGateCount; }));
+
+  setFault(Platform.At,
+           R"({"kind":"lost-answer","count":2,"prefix":"shared/shares"})");
+  News.SecondAlive = true;
+  Second.start();
+  REQUIRE(eventually([&] { return Lanes(First) == 4 && Lanes(Second) == 4; }));
+  REQUIRE(eventually(
+      [&] { return Gates(First) + Gates(Second) == WriteGateCount; }));
+  CHECK(Gates(Second) > 0);
+  CHECK(Stopped == 4);
+
+  CHECK(First.giveAwayAll(10s));
+  CHECK(Lanes(First) == 0);
+  CHECK(Gates(First) == 0);
+  REQUIRE(eventually(
+      [&] { return Lanes(Second) == 8 && Gates(Second) == WriteGateCount; }));
+  First.stop();
+  Second.stop();
+}
+
+// Guards against a judge that decides rightly but does not act on it.
+TEST_CASE("a holder process moves a version and takes it back", "[keeper]") {
+  LocalPlatform Platform;
+  Spread News(Platform.At);
+  PlatformClient Client(Platform.At, 2s);
+  std::atomic<int> Announced{0};
+  std::atomic<std::uint64_t> NewErrors{0};
+  Evidence Old{{"east-1"}, 1, {"depot"}, {"find"}, {"v1"}, 0, 0, 0};
+  Evidence New{{"east-1"}, 1, {"depot"}, {"find"}, {"v2"}, 0, 0, 0};
+  MoveHandlers Handlers;
+  Handlers.View = [&] { return News.view(); };
+  Handlers.Counts = [&] {
+    Old.Requests += 100;
+    New.Requests += 100;
+    New.Errors += NewErrors;
+    return std::vector<Evidence>{Old, New};
+  };
+  Handlers.Announce = [&](const VersionTakenBack &) { ++Announced; };
+  MoveKeeper Keeper(settingsOf("east-1"), Client, Handlers);
+  auto State = [&]() -> std::optional<MoveState> {
+    Expected<PlatformObject> Object =
+        News.Client.get("shared/moves/depot/find");
+    if (!Object)
+      return std::nullopt;
+    return *parseMoveState(Object->Value);
+  };
+  Keeper.start();
+  REQUIRE(eventually([&] { return State().has_value(); }));
+  CHECK(State()->From == VersionName{"v1"});
+  CHECK(State()->Share == MoveSteps[0]);
+
+  SECTION("the version turns bad") {
+    NewErrors = 30;
+    REQUIRE(eventually([&] { return Announced > 0; }));
+    REQUIRE(
+        eventually([&] { return State()->Status == MoveStatus::TakenBack; }));
+    CHECK_FALSE(State()->Reason.empty());
+  }
+  SECTION("the version turns bad while the platform is down") {
+    REQUIRE(eventually([&] {
+      return News.view()->Splits.count({{"depot"}, {"find"}}) == 1;
+    }));
+    std::this_thread::sleep_for(2s);
+    // The views of the processes stay as they are in an outage.
+    Client.stop();
+    NewErrors = 30;
+    REQUIRE(eventually([&] { return Announced > 0; }));
+    CHECK(State()->Status == MoveStatus::UnderWay);
+  }
+  SECTION("another process takes it back") {
+    Keeper.receive(VersionTakenBack{{"depot"},
+                                    {"find"},
+                                    {"v2"},
+                                    moveRuleNumber(State()->Rule),
+                                    "slow answers"});
+    REQUIRE(
+        eventually([&] { return State()->Status == MoveStatus::TakenBack; }));
+    CHECK(State()->Reason == "slow answers");
+  }
+  Keeper.stop();
+}
--- a/tests/PlatformClientTest.cpp
+++ b/tests/PlatformClientTest.cpp
@@ -1,5 +1,5 @@
 #include "balsamyard/src/Process/PlatformClient.h"
-#include "apps/standin-platform/PlatformStandIn.h"
+#include "tests/LocalPlatform.h"
 
 #include <catch2/catch.hpp>
 #include <thread>
@@ -9,37 +9,6 @@
 
 namespace {
 
-/// Runs an HTTP server on a loopback port for the time of a test.
-class LocalServer {
-public:
-  LocalServer() = default;
-  ~LocalServer() { this->stop(); }
-
-  Endpoint start() {
-    int Port = this->Server.bind_to_any_port("127.0.0.1");
-    this->Serving = std::thread([this] { this->Server.listen_after_bind(); });
-    while (!this->Server.is_running())
-      std::this_thread::sleep_for(1ms);
-    return {"127.0.0.1", static_cast<std::uint16_t>(Port)};
-  }
-  void stop() {
-    if (!this->Serving.joinable())
-      return;
-    this->Server.stop();
-    this->Serving.join();
-  }
-
-  httplib::Server Server;
-
-private:
-  std::thread Serving;
-};
-
-void setFault(const Endpoint &At, const std::string &Body) {
-  httplib::Client Client(At.Address, At.Port);
-  REQUIRE(Client.Post("/fault", Body, "application/json")->status == 200);
-}
-
 Code errorOf(const Expected<std::uint64_t> &Result) {
   return Result ? Code::Ok : Result.error().Value;
 }
