--- /dev/null
+++ b/apps/balsamyardctl/ReportCommands.cpp
@@ -0,0 +1,90 @@
+#include "Commands.h"
+
+#include "balsamyard/src/Process/Timeline.h"
+
+#include <iostream>
+#include <map>
+
+namespace balsamyard::ctl {
+
+namespace {
+
+/// \returns what an event means, in words.
+std::string sentence(const TimelineEvent &Event) {
+  static const std::map<std::string, std::string> Meanings = {
+      {"query-answered", "the search was answered"},
+      {"query-partial", "not every shard answered in time"},
+      {"request-refused", "the request was refused"},
+      {"request-failed", "the request failed"},
+      {"request-quarantined", "the request was quarantined"},
+      {"target-connection-broke", "a target closed the connection"},
+      {"slot-cold", "a target was found in cold start"},
+      {"slot-leaving", "a target was found leaving"}};
+  static const std::map<std::string, std::string> Outcomes = {
+      {"not_run", "it was not run"},
+      {"unknown", "it is not known whether it ran"},
+      {"ran", "it ran"}};
+  const auto Meaning = Meanings.find(Event.Name);
+  std::string Text = Meaning == Meanings.end() ? Event.Name : Meaning->second;
+  if (const auto Outcome = Outcomes.find(Event.field("outcome"));
+      Outcome != Outcomes.end())
+    Text += "; " + Outcome->second;
+  for (const auto &[Key, Value] : Event.Fields)
+    if (Key != "time" && Key != "level" && Key != "process" && Key != "node" &&
+        Key != "domain" && Key != "request" && Key != "outcome" &&
+        !Value.empty())
+      Text += ", " + Key + " " + Value;
+  return Text + ".";
+}
+
+void readLogs(Timeline &Merged, const std::vector<std::string> &Files) {
+  for (const std::string &File : Files)
+    Merged.readFile(File);
+}
+
+ExitStatus reportFaults(const Timeline &Merged) {
+  for (const TimelineFault &Fault : Merged.faults())
+    std::cerr << Fault.File << ":" << Fault.Line << ": " << Fault.Detail
+              << "\n";
+  return Merged.faults().empty() ? Success : Faulty;
+}
+
+} // namespace
+
+ExitStatus explain(const Arguments &Given) {
+  if (Given.Files.size() != 1 || Given.Logs.empty()) {
+    std::cerr << "balsamyardctl: explain needs a request id and --logs\n";
+    return BadUsage;
+  }
+  Timeline Merged;
+  readLogs(Merged, Given.Logs);
+  TimelineFilter Filter;
+  Filter.Request = Given.Files.front();
+  const std::vector<const TimelineEvent *> Events = Merged.select(Filter);
+  if (Events.empty())
+    std::cout << "no process logged request " << *Filter.Request << "\n";
+  for (const TimelineEvent *Event : Events) {
+    const auto Since = std::chrono::duration_cast<std::chrono::microseconds>(
+        Event->Time - Events.front()->Time);
+    std::cout << Event->field("time") << " (+" << Since.count()
+              << " us) at the " << Event->field("process") << " process of "
+              << Event->field("node") << ": " << sentence(*Event) << "\n";
+  }
+  const ExitStatus Read = reportFaults(Merged);
+  return Events.empty() ? Faulty : Read;
+}
+
+ExitStatus timeline(const Arguments &Given) {
+  std::vector<std::string> Files = Given.Files;
+  Files.insert(Files.end(), Given.Logs.begin(), Given.Logs.end());
+  if (Files.empty()) {
+    std::cerr << "balsamyardctl: timeline needs log files\n";
+    return BadUsage;
+  }
+  Timeline Merged;
+  readLogs(Merged, Files);
+  std::cout << toTable(Merged.select({}));
+  return reportFaults(Merged);
+}
+
+} // namespace balsamyard::ctl
--- a/apps/balsamyardctl/RulesCommands.cpp
+++ b/apps/balsamyardctl/RulesCommands.cpp
@@ -1,225 +1,202 @@
-#include "apps/balsamyardctl/Commands.h"
+#include "Commands.h"
+
 #include "balsamyard/src/Process/RulesStore.h"
+#include "balsamyard/src/Version/Rules.h"
 #include "balsamyard/src/Version/RulesDelta.h"
 
-#include <algorithm>
-#include <cstdio>
 #include <fstream>
 #include <iostream>
-#include <sstream>
+#include <iterator>
 
 namespace balsamyard::ctl {
 
 namespace {
 
-/// Changed lines that are shown after a conflict.
-constexpr int MaxShownLines = 100;
+template <typename... Handlers> struct Overload : Handlers... {
+  using Handlers::operator()...;
+};
+template <typename... Handlers> Overload(Handlers...) -> Overload<Handlers...>;
 
-std::optional<std::string> fileArgument(const cxxopts::ParseResult &Options) {
-  if (Options.count("subject") &&
-      Options["subject"].as<std::vector<std::string>>().size() == 1)
-    return Options["subject"].as<std::vector<std::string>>().front();
-  std::cerr << "balsamyardctl: expected one FILE\n";
-  return std::nullopt;
+ExitStatus usage(const std::string &Detail) {
+  std::cerr << "balsamyardctl: " << Detail << "; see --help\n";
+  return BadUsage;
 }
 
-/// The file beside a rules file that keeps the version and the text it was
-/// fetched as.
-std::string baseFile(const std::string &File) { return File + ".base"; }
-
-bool writeFile(const std::string &Path, const std::string &Text) {
-  // A rename leaves either the old or the new file.
-  const std::string Next = Path + ".new";
-  std::ofstream Stream(Next, std::ios::binary);
-  Stream << Text;
-  Stream.close();
-  if (Stream && std::rename(Next.c_str(), Path.c_str()) == 0)
-    return true;
-  std::cerr << Path << ": cannot be written\n";
-  return false;
+ExitStatus report(const Error &Fault) {
+  std::cerr << "balsamyardctl: " << static_cast<int>(Fault.Value) << " "
+            << name(Fault.Value) << ": " << Fault.Detail << "\n";
+  return Unreachable;
 }
 
-/// \returns the rules that \p File was fetched as, or nothing.
-std::optional<StoredRules> readBase(const std::string &File) {
-  std::ifstream Stream(baseFile(File), std::ios::binary);
-  StoredRules Base;
-  if (!(Stream >> Base.Version) || Stream.get() != '\n')
+std::optional<std::string> readFile(const std::string &Path) {
+  std::ifstream File(Path, std::ios::binary);
+  if (!File)
     return std::nullopt;
-  Base.Text.assign(std::istreambuf_iterator<char>(Stream), {});
-  return Base;
+  return std::string(std::istreambuf_iterator<char>(File), {});
 }
 
-bool writeBase(const std::string &File, const StoredRules &Base) {
-  return writeFile(baseFile(File),
-                   std::to_string(Base.Version) + "\n" + Base.Text);
+/// Prints every fault of the rules text.
+bool isValid(const std::string &Path, const std::string &Text) {
+  auto Parsed = parseRules(Text);
+  if (Parsed)
+    return true;
+  for (const RuleFault &Fault : Parsed.error())
+    std::cerr << Path << ":" << Fault.Line << ":" << Fault.Column << ": "
+              << static_cast<int>(Fault.Value) << " " << name(Fault.Value)
+              << ": " << Fault.Expectation << "\n";
+  return false;
 }
 
-/// \returns the text of the file if it has no faults.
-std::optional<std::string> checkedFile(const std::string &File, int &Status) {
-  std::optional<std::string> Text = readFile(File);
-  if (!Text) {
-    Status = Failure;
-    return std::nullopt;
+std::vector<std::string> linesOf(const std::string &Text) {
+  std::vector<std::string> Lines;
+  for (std::size_t At = 0; At < Text.size();) {
+    const std::size_t End = std::min(Text.find('\n', At), Text.size());
+    Lines.push_back(Text.substr(At, End - At));
+    At = End + 1;
   }
-  auto Parsed = parseRules(*Text);
-  if (Parsed)
-    return Text;
-  for (const RuleFault &Fault : Parsed.error())
-    std::cerr << toText(File, Fault) << "\n";
-  Status = BadRules;
-  return std::nullopt;
+  return Lines;
 }
 
-/// \returns at most the first MaxShownLines lines.
-std::string shortened(const std::string &Text) {
-  std::size_t End = 0;
-  for (int Line = 0; Line < MaxShownLines; ++Line) {
-    std::size_t Next = Text.find('\n', End);
-    if (Next == std::string::npos)
-      return Text;
-    End = Next + 1;
+/// Prints the removed and added lines with their numbers.
+void printDiff(const std::string &From, const std::string &To) {
+  const std::vector<std::string> Old = linesOf(From);
+  for (const LineEdit &Edit : makeDelta(From, To).Edits) {
+    std::cout << "@@ line " << Edit.First + 1 << " @@\n";
+    for (std::uint32_t Line = Edit.First;
+         Line < Edit.First + Edit.Removed && Line < Old.size(); ++Line)
+      std::cout << "-" << Old[Line] << "\n";
+    for (const std::string &Line : Edit.Added)
+      std::cout << "+" << Line << "\n";
   }
-  return Text.substr(0, End) + "...\n";
 }
 
-/// \param Since is the text of the base, if it is known.
-int reportConflict(const std::optional<std::string> &Since,
-                   const std::string &Own, const StoredRules &Newest,
-                   std::uint64_t Base) {
-  std::cerr << "Nothing was applied: the file is based on version " << Base
-            << ", but the accepted rules have version " << Newest.Version
-            << ". "
-            << (Since ? "Another operator changed:\n"
-                      : "They differ from the file by:\n")
-            << shortened(diffText(Since.value_or(Own), Newest.Text))
-            << "Fetch the newest rules, repeat your change and apply again.\n";
-  return ConflictFound;
+std::string versionFile(const std::string &Path) { return Path + ".version"; }
+
+/// The version that the file is based on: --base, or what fetch or apply noted.
+std::optional<std::uint64_t> baseOf(const Arguments &Given) {
+  if (Given.Base)
+    return Given.Base;
+  std::ifstream Noted(versionFile(Given.Files.front()));
+  std::uint64_t Version = 0;
+  if (Noted >> Version)
+    return Version;
+  return std::nullopt;
 }
 
-} // namespace
+/// Notes the version and the text that the file is now based on.
+void noteBase(const std::string &Path, const StoredRules &Base) {
+  std::ofstream(versionFile(Path), std::ios::binary) << Base.Version << "\n"
+                                                     << Base.Text;
+}
 
-std::string toText(const std::string &File, const RuleFault &Fault) {
-  std::ostringstream Line;
-  Line << File << ":" << Fault.Line << ":" << Fault.Column << ": "
-       << static_cast<int>(Fault.Value) << " " << name(Fault.Value) << ": "
-       << Fault.Expectation;
-  return Line.str();
+/// \returns the text of version \p Base, if it was noted.
+std::optional<std::string> baseText(const std::string &Path,
+                                    std::uint64_t Base) {
+  std::ifstream Noted(versionFile(Path), std::ios::binary);
+  std::uint64_t Version = 0;
+  if (!(Noted >> Version) || Version != Base || Noted.get() != '\n')
+    return std::nullopt;
+  return std::string(std::istreambuf_iterator<char>(Noted), {});
 }
 
-std::string diffText(std::string_view From, std::string_view To) {
-  std::vector<std::string> Old;
-  std::istringstream Lines{std::string(From)};
-  for (std::string Line; std::getline(Lines, Line);)
-    Old.push_back(Line);
-  std::ostringstream Text;
-  std::int64_t Shift = 0;
-  for (const LineEdit &Edit : makeDelta(From, To).Edits) {
-    for (std::size_t Line = Edit.First;
-         Line < Edit.First + Edit.Removed && Line < Old.size(); ++Line)
-      Text << "-" << Line + 1 << ": " << Old[Line] << "\n";
-    auto At = static_cast<std::int64_t>(Edit.First) + Shift;
-    for (const std::string &Line : Edit.Added) {
-      ++At;
-      // The text after the last line end is an empty line.
-      if (!Line.empty() || Edit.First < Old.size())
-        Text << "+" << At << ": " << Line << "\n";
-    }
-    Shift += static_cast<std::int64_t>(Edit.Added.size()) - Edit.Removed;
+ExitStatus showConflict(const std::string &Path, const std::string &Text,
+                        std::uint64_t Base, const StoredRules &Current) {
+  std::cerr << "balsamyardctl: " << static_cast<int>(Code::PlatformConflict)
+            << " platform-conflict: version " << Current.Version
+            << " is in force and the file is based on version " << Base
+            << "; nothing was changed. ";
+  if (std::optional<std::string> Since = baseText(Path, Base)) {
+    std::cerr << "Another operator changed:\n";
+    printDiff(*Since, Current.Text);
+  } else {
+    std::cerr << "From the version in force to the file:\n";
+    printDiff(Current.Text, Text);
   }
-  return Text.str();
+  return Conflict;
 }
 
-int runCheck(const cxxopts::ParseResult &Options) {
-  std::optional<std::string> File = fileArgument(Options);
-  if (!File)
-    return BadUsage;
-  int Status = Success;
-  if (checkedFile(*File, Status))
-    std::cout << *File << ": no faults\n";
-  return Status;
+} // namespace
+
+ExitStatus check(const Arguments &Given) {
+  if (Given.Files.empty())
+    return usage("check needs a rules file");
+  bool Valid = true;
+  for (const std::string &Path : Given.Files) {
+    std::optional<std::string> Text = readFile(Path);
+    if (!Text)
+      return usage("cannot read " + Path);
+    Valid = isValid(Path, *Text) && Valid;
+  }
+  return Valid ? Success : Faulty;
 }
 
-int runDiff(const cxxopts::ParseResult &Options) {
-  std::optional<std::string> File = fileArgument(Options);
-  std::optional<Endpoint> Platform = addressOption(Options, "platform");
-  if (!File || !Platform)
-    return BadUsage;
-  int Status = Success;
-  std::optional<std::string> Text = checkedFile(*File, Status);
+ExitStatus diff(const Arguments &Given) {
+  if (Given.Files.size() != 1 || !Given.Platform)
+    return usage("diff needs one rules file and --platform");
+  std::optional<std::string> Text = readFile(Given.Files.front());
   if (!Text)
-    return Status;
-  PlatformClient Client(*Platform, CallTimeout);
-  Expected<StoredRules> Newest = readRules(Client);
-  if (!Newest)
-    return report(Newest.error());
-  std::cout << diffText(Newest->Text, *Text);
-  return Newest->Text == *Text ? Success : Differs;
+    return usage("cannot read " + Given.Files.front());
+  PlatformClient Platform(*Given.Platform, Given.Timeout);
+  Expected<StoredRules> Current = RulesStore(Platform).read();
+  if (!Current)
+    return report(Current.error());
+  printDiff(Current->Text, *Text);
+  return Success;
 }
 
-int runFetch(const cxxopts::ParseResult &Options) {
-  std::optional<std::string> File = fileArgument(Options);
-  std::optional<Endpoint> Platform = addressOption(Options, "platform");
-  if (!File || !Platform)
-    return BadUsage;
-  PlatformClient Client(*Platform, CallTimeout);
-  Expected<StoredRules> Newest = readRules(Client);
-  if (!Newest)
-    return report(Newest.error());
-  if (!writeFile(*File, Newest->Text) || !writeBase(*File, *Newest))
-    return Failure;
-  std::cout << *File << ": rules of version " << Newest->Version << "\n";
+ExitStatus fetch(const Arguments &Given) {
+  if (!Given.Platform)
+    return usage("fetch needs --platform");
+  PlatformClient Platform(*Given.Platform, Given.Timeout);
+  Expected<StoredRules> Current = RulesStore(Platform).read();
+  if (!Current)
+    return report(Current.error());
+  if (Given.Out.empty()) {
+    std::cout << Current->Text;
+    std::cerr << "version " << Current->Version << "\n";
+    return Success;
+  }
+  if (!(std::ofstream(Given.Out, std::ios::binary) << Current->Text))
+    return usage("cannot write " + Given.Out);
+  noteBase(Given.Out, *Current);
   return Success;
 }
 
-int runApply(const cxxopts::ParseResult &Options) {
-  std::optional<std::string> File = fileArgument(Options);
-  std::optional<Endpoint> Platform = addressOption(Options, "platform");
-  if (!File || !Platform)
-    return BadUsage;
-  int Status = Success;
-  std::optional<std::string> Text = checkedFile(*File, Status);
+ExitStatus apply(const Arguments &Given) {
+  if (Given.Files.size() != 1 || !Given.Platform)
+    return usage("apply needs one rules file and --platform");
+  const std::string &Path = Given.Files.front();
+  std::optional<std::string> Text = readFile(Path);
   if (!Text)
-    return Status;
-  PlatformClient Client(*Platform, CallTimeout);
-  Expected<StoredRules> Newest = readRules(Client);
-  if (!Newest)
-    return report(Newest.error());
-
-  std::optional<StoredRules> Fetched = readBase(*File);
-  std::uint64_t Base = Fetched ? Fetched->Version : 0;
-  if (Options.count("base"))
-    Base = Options["base"].as<std::uint64_t>();
-  std::optional<std::string> Since;
-  if (Fetched && Fetched->Version == Base)
-    Since = Fetched->Text;
-  if (Newest->Version != Base)
-    return reportConflict(Since, *Text, *Newest, Base);
-
-  ApplyResult Result = applyRules(Client, *Text, Base);
-  switch (Result.Outcome) {
-  case ApplyOutcome::Accepted:
-    std::cout << "Accepted as version " << Result.Version
-              << (Result.ReadBack ? " (an answer was lost; found by reading "
-                                    "the rules back)\n"
-                                  : "\n");
-    return writeBase(*File, {*Text, Result.Version}) ? Success : Failure;
-  case ApplyOutcome::Conflict:
-    Newest = readRules(Client);
-    if (!Newest) {
-      std::cerr << "Nothing was applied: another operator changed the rules.\n";
-      return ConflictFound;
-    }
-    return reportConflict(Since, *Text, *Newest, Base);
-  case ApplyOutcome::Refused:
-    std::cerr << "Nothing was applied.\n";
-    return report(Result.Fault);
-  case ApplyOutcome::Unknown:
-    break;
-  }
-  report(Result.Fault);
-  std::cerr << "It is not known whether the rules were accepted. Run diff to "
-               "see which rules are in force.\n";
-  return OutcomeUnclear;
+    return usage("cannot read " + Path);
+  if (!isValid(Path, *Text))
+    return Faulty;
+  PlatformClient Platform(*Given.Platform, Given.Timeout);
+  RulesStore Store(Platform);
+  // Without a known base the file may only be the first one.
+  const std::uint64_t Base = baseOf(Given).value_or(0);
+  Expected<ApplyResult> Result = Store.apply(*Text, Base);
+  if (!Result)
+    return report(Result.error());
+  return std::visit(
+      Overload{[&](const RulesAccepted &Accepted) {
+                 noteBase(Path, {Accepted.Version, *Text});
+                 std::cout << "accepted as version " << Accepted.Version
+                           << "\n";
+                 return Success;
+               },
+               [&](const RulesConflict &Other) {
+                 return showConflict(Path, *Text, Base, Other.Current);
+               },
+               [&](const RulesUnclear &Lost) {
+                 std::cerr << "balsamyardctl: "
+                           << static_cast<int>(Code::PlatformUnavailable)
+                           << " platform-unavailable: it is not known whether "
+                              "the rules were accepted: "
+                           << Lost.Detail << "; run diff to find out\n";
+                 return Unclear;
+               }},
+      *Result);
 }
 
 } // namespace balsamyard::ctl
--- a/apps/balsamyardctl/StatusCommand.cpp
+++ b/apps/balsamyardctl/StatusCommand.cpp
@@ -1,7 +1,7 @@
-#include "apps/balsamyardctl/Commands.h"
+#include "Commands.h"
+
 #include "balsamyard/src/Process/PlatformClient.h"
 #include "balsamyard/src/Version/VersionMove.h"
-#include "balsamyard/src/Version/internal/NameText.h"
 
 #include <httplib.h>
 #include <iostream>
@@ -14,25 +14,20 @@
 using Json = nlohmann::json;
 
 /// \returns the status page, or nothing after a message.
-std::optional<Json> readPage(const std::string &Address) {
-  Expected<Endpoint> At = internal::parseEndpoint(Address);
-  if (!At) {
-    std::cout << Address << ": " << At.error().Detail << "\n";
-    return std::nullopt;
-  }
-  httplib::Client Client(At->Address, At->Port);
+std::optional<Json> readPage(const Endpoint &At, Duration Timeout) {
+  httplib::Client Client(At.Address, At.Port);
   Client.set_tcp_nodelay(true);
-  Client.set_connection_timeout(CallTimeout);
-  Client.set_read_timeout(CallTimeout);
-  httplib::Result Answer = Client.Get("/v1/status");
+  Client.set_connection_timeout(Timeout);
+  Client.set_read_timeout(Timeout);
+  const httplib::Result Answer = Client.Get("/v1/status");
   if (!Answer || Answer->status != 200) {
-    std::cout << Address << ": no answer\n";
+    std::cout << toText(At) << ": does not answer\n";
     return std::nullopt;
   }
   Json Page = Json::parse(Answer->body, nullptr, false);
   if (Page.is_object())
     return Page;
-  std::cout << Address << ": the status page cannot be read\n";
+  std::cout << toText(At) << ": the status page cannot be read\n";
   return std::nullopt;
 }
 
@@ -88,11 +83,14 @@
   }
 }
 
-bool printMoves(const Endpoint &Platform) {
-  PlatformClient Client(Platform, CallTimeout);
+/// \returns whether the moves could be read.
+bool printMoves(const Arguments &Given) {
+  const Endpoint &Platform = *Given.Platform;
+  PlatformClient Client(Platform, Given.Timeout);
   Expected<PlatformListing> Listing = Client.list("shared/moves/");
   if (!Listing) {
-    report(Listing.error());
+    std::cout << "moves: not known, the platform does not answer ("
+              << Listing.error().Detail << ")\n";
     return false;
   }
   std::cout << "platform " << toText(Platform) << ": version "
@@ -104,7 +102,7 @@
     Expected<MoveState> State = Object ? parseMoveState(Object->Value)
                                        : tl::unexpected<Error>(Object.error());
     if (!State) {
-      report(State.error());
+      std::cout << "  " << Entry.Name << ": " << State.error().Detail << "\n";
       Complete = false;
       continue;
     }
@@ -123,20 +121,19 @@
 
 } // namespace
 
-int runStatus(const cxxopts::ParseResult &Options) {
-  std::optional<Endpoint> Platform = addressOption(Options, "platform");
-  if (!Platform)
+ExitStatus status(const Arguments &Given) {
+  if (!Given.Platform && Given.Nodes.empty()) {
+    std::cerr << "balsamyardctl: status needs --platform or --node\n";
     return BadUsage;
-  bool Complete = printMoves(*Platform);
-  if (Options.count("nodes"))
-    for (const std::string &Address :
-         Options["nodes"].as<std::vector<std::string>>()) {
-      std::optional<Json> Page = readPage(Address);
-      Complete = Complete && Page.has_value();
-      if (Page)
-        printPage(Address, *Page);
-    }
-  return Complete ? Success : Failure;
+  }
+  bool Complete = !Given.Platform || printMoves(Given);
+  for (const Endpoint &Node : Given.Nodes) {
+    std::optional<Json> Page = readPage(Node, Given.Timeout);
+    Complete = Complete && Page.has_value();
+    if (Page)
+      printPage(toText(Node), *Page);
+  }
+  return Complete ? Success : Unreachable;
 }
 
 } // namespace balsamyard::ctl
--- a/apps/balsamyardctl/main.cpp
+++ b/apps/balsamyardctl/main.cpp
@@ -1,120 +1,119 @@
-#include "apps/balsamyardctl/Commands.h"
+#include "Commands.h"
+
 #include "balsamyard/src/Version/internal/NameText.h"
 
-#include <fstream>
+#include <array>
+#include <cxxopts.hpp>
 #include <iostream>
-#include <iterator>
-#include <map>
-
-namespace balsamyard::ctl {
-
-std::optional<std::string> readFile(const std::string &Path) {
-  std::ifstream Stream(Path, std::ios::binary);
-  if (!Stream) {
-    std::cerr << Path << ": cannot be read\n";
-    return std::nullopt;
-  }
-  return std::string{std::istreambuf_iterator<char>(Stream), {}};
-}
 
-std::optional<Endpoint> addressOption(const cxxopts::ParseResult &Options,
-                                      const std::string &Name) {
-  Expected<Endpoint> Address =
-      internal::parseEndpoint(Options[Name].as<std::string>());
-  if (Address)
-    return *Address;
-  std::cerr << "balsamyardctl: --" << Name << ": " << Address.error().Detail
-            << "\n";
-  return std::nullopt;
-}
-
-int report(const Error &Fault) {
-  std::cerr << "balsamyardctl: " << static_cast<int>(Fault.Value) << " "
-            << name(Fault.Value) << ": " << Fault.Detail << "\n";
-  return Failure;
-}
+using namespace balsamyard;
+using namespace balsamyard::ctl;
 
 namespace {
 
-const char *const Usage =
-    "Checks and changes the rules, and shows what balsamyard does.\n\n"
-    "Commands:\n"
-    "  check FILE     checks a rules file\n"
-    "  fetch FILE     writes the accepted rules to FILE and notes their "
-    "version\n"
-    "  diff FILE      shows what apply would change\n"
-    "  apply FILE     makes FILE the accepted rules, if it is based on the\n"
-    "                 newest: on --base, or on the version fetched last\n"
-    "  status         shows version moves, targets and configuration\n"
-    "  explain ID     tells what happened to a request, from log files\n"
-    "  timeline       lists the events of log files in order\n\n"
-    "Exit codes: 0 success, 1 failure, 2 wrong arguments, 3 faults in the\n"
-    "rules, 4 another operator changed the rules and nothing was applied, 5 "
-    "it\n"
-    "is not known whether the rules were accepted, 6 diff found differences.\n";
+struct Command {
+  std::string_view Name;
+  ExitStatus (*Run)(const Arguments &);
+  std::string_view Help;
+};
+
+constexpr std::array<Command, 7> Commands = {{
+    {"check", check, "FILE...: check rules files"},
+    {"diff", diff, "FILE --platform A: lines that differ from those in force"},
+    {"fetch", fetch, "--platform A [--out FILE]: print or save the rules"},
+    {"apply", apply,
+     "FILE --platform A [--base VERSION]: put the rules in force"},
+    {"status", status, "[--platform A] [--node A]...: moves and processes"},
+    {"explain", explain, "REQUEST-ID --logs FILE...: what happened to it"},
+    {"timeline", timeline, "FILE...: events of all logs, ordered by time"},
+}};
 
 cxxopts::Options makeOptions() {
-  cxxopts::Options Options("balsamyardctl", Usage);
-  Options.positional_help("COMMAND [FILE or ID]");
-  Options.add_options()("command", "", cxxopts::value<std::string>(),
-                        "COMMAND")(
-      "subject", "", cxxopts::value<std::vector<std::string>>(), "SUBJECT")(
-      "platform", "address of the platform",
-      cxxopts::value<std::string>()->default_value("127.0.0.1:9000"),
-      "IP:PORT")("base", "version of the rules that FILE is based on",
-                 cxxopts::value<std::uint64_t>(), "VERSION")(
-      "nodes", "status: HTTP addresses of processes",
+  cxxopts::Options Options("balsamyardctl", "Operates balsamyard.");
+  Options.custom_help("COMMAND [OPTION...]");
+  Options.positional_help("[FILE...]");
+  Options.add_options()("platform", "address of the platform",
+                        cxxopts::value<std::string>(), "IP:PORT")(
+      "node", "HTTP address of an entry or holder process, may be repeated",
       cxxopts::value<std::vector<std::string>>(),
-      "IP:PORT,..")("logs", "explain, timeline: log files",
-                    cxxopts::value<std::vector<std::string>>(), "FILE,..")(
-      "request", "timeline: only this request", cxxopts::value<std::string>(),
-      "ID")("target", "timeline: only this target",
-            cxxopts::value<std::string>(), "SERVICE/LEAF/SLOT")(
-      "target-version", "timeline: only this back end version",
-      cxxopts::value<std::string>(),
-      "NAME")("domain", "timeline: only this failure domain",
-              cxxopts::value<std::string>(), "NAME")("help", "print this text")(
-      "version", "print the version");
-  Options.parse_positional({"command", "subject"});
+      "IP:PORT")("logs", "log file, may be repeated",
+                 cxxopts::value<std::vector<std::string>>(), "FILE")(
+      "base",
+      "version that the file is based on; default: noted by fetch and "
+      "apply in FILE.version",
+      cxxopts::value<std::uint64_t>(),
+      "VERSION")("out", "file to save to", cxxopts::value<std::string>(),
+                 "FILE")("timeout-ms", "time for each answer, in ms",
+                         cxxopts::value<std::uint32_t>()->default_value("5000"),
+                         "MS")("version", "print the version and exit")(
+      "h,help", "print this help")("words", "",
+                                   cxxopts::value<std::vector<std::string>>());
+  Options.parse_positional({"words"});
   return Options;
 }
 
-int run(int ArgumentCount, char **Arguments) {
-  static const std::map<std::string, int (*)(const cxxopts::ParseResult &)>
-      Commands = {{"check", &runCheck},      {"diff", &runDiff},
-                  {"apply", &runApply},      {"fetch", &runFetch},
-                  {"status", &runStatus},    {"explain", &runExplain},
-                  {"timeline", &runTimeline}};
+void printHelp(const cxxopts::Options &Options) {
+  std::cout << Options.help() << "\nCommands:\n";
+  for (const Command &Known : Commands)
+    std::cout << "  " << Known.Name << " " << Known.Help << "\n";
+  std::cout << "\nExit status: 0 success, 1 faults in a file, 2 bad usage, 3 "
+               "another operator's rules\nare in force, 4 not known whether "
+               "the rules were accepted, 5 no answer.\n";
+}
+
+Endpoint endpointOf(const std::string &Text) {
+  Expected<Endpoint> At = internal::parseEndpoint(Text);
+  if (!At)
+    throw cxxopts::exceptions::incorrect_argument_type(Text);
+  return *At;
+}
+
+Arguments argumentsOf(const cxxopts::ParseResult &Parsed) {
+  Arguments Given;
+  const auto &Words = Parsed["words"].as<std::vector<std::string>>();
+  Given.Files.assign(Words.begin() + 1, Words.end());
+  if (Parsed.count("platform"))
+    Given.Platform = endpointOf(Parsed["platform"].as<std::string>());
+  if (Parsed.count("node"))
+    for (const auto &Node : Parsed["node"].as<std::vector<std::string>>())
+      Given.Nodes.push_back(endpointOf(Node));
+  if (Parsed.count("logs"))
+    Given.Logs = Parsed["logs"].as<std::vector<std::string>>();
+  if (Parsed.count("base"))
+    Given.Base = Parsed["base"].as<std::uint64_t>();
+  if (Parsed.count("out"))
+    Given.Out = Parsed["out"].as<std::string>();
+  Given.Timeout =
+      std::chrono::milliseconds(Parsed["timeout-ms"].as<std::uint32_t>());
+  return Given;
+}
+
+int run(int Count, char **Texts) {
   cxxopts::Options Options = makeOptions();
-  try {
-    cxxopts::ParseResult Parsed = Options.parse(ArgumentCount, Arguments);
-    if (Parsed.count("help")) {
-      std::cout << Options.help();
-      return Success;
-    }
-    if (Parsed.count("version")) {
-      std::cout << "balsamyardctl " BALSAMYARD_VERSION "\n";
-      return Success;
-    }
-    auto Found = Parsed.count("command")
-                     ? Commands.find(Parsed["command"].as<std::string>())
-                     : Commands.end();
-    if (Found == Commands.end()) {
-      std::cerr << "balsamyardctl: expected a command: check, diff, apply, "
-                   "fetch, status, explain or timeline\n";
-      return BadUsage;
-    }
-    return Found->second(Parsed);
-  } catch (const cxxopts::exceptions::exception &Fault) {
-    std::cerr << "balsamyardctl: " << Fault.what() << "\n";
-    return BadUsage;
+  const cxxopts::ParseResult Parsed = Options.parse(Count, Texts);
+  if (Parsed.count("help")) {
+    printHelp(Options);
+    return Success;
   }
+  if (Parsed.count("version")) {
+    std::cout << "balsamyardctl " BALSAMYARD_VERSION "\n";
+    return Success;
+  }
+  if (Parsed.count("words"))
+    for (const Command &Known : Commands)
+      if (Known.Name == Parsed["words"].as<std::vector<std::string>>().front())
+        return Known.Run(argumentsOf(Parsed));
+  std::cerr << "balsamyardctl: expected a command; see --help\n";
+  return BadUsage;
 }
 
 } // namespace
 
-} // namespace balsamyard::ctl
-
-int main(int ArgumentCount, char **Arguments) {
-  return balsamyard::ctl::run(ArgumentCount, Arguments);
+int main(int Count, char **Texts) {
+  try {
+    return run(Count, Texts);
+  } catch (const std::exception &Fault) {
+    std::cerr << "balsamyardctl: " << Fault.what() << "; see --help\n";
+    return BadUsage;
+  }
 }
--- a/balsamyard/src/Process/RulesStore.h
+++ b/balsamyard/src/Process/RulesStore.h
@@ -2,48 +2,69 @@
 
 #include "balsamyard/src/Process/PlatformClient.h"
 
+#include <cstdint>
 #include <string>
-#include <string_view>
-#include <vector>
+#include <variant>
 
 namespace balsamyard {
 
-/// \brief Largest part of the rules text in one platform object.
-inline constexpr std::size_t MaxRulesPartBytes = 900 * 1024;
+/// \brief Longest part of the rules text in one platform object, in bytes. The
+/// platform holds values up to 1 MB.
+inline constexpr std::size_t MaxRulesPartBytes = 900 * 1000;
 
-/// \brief The accepted rules. Version 0: none were ever accepted.
+/// \brief The rules text in force and the version of its head object. Version 0
+/// says that there is none yet.
 struct StoredRules {
+  std::uint64_t Version = 0;
   std::string Text;
-  std::uint64_t Version = 0; ///< Of `shared/rules/head`.
 };
 
-/// \brief What became of an attempt to change the rules.
-enum class ApplyOutcome : std::uint8_t {
-  Accepted,
-  Conflict, ///< Not accepted: the rules are no longer those of the base.
-  Refused,  ///< Not accepted for another reason.
-  Unknown,  ///< The platform gave no clear answer; it may be accepted.
+/// \brief The update of the head took effect.
+struct RulesAccepted {
+  std::uint64_t Version = 0;
 };
 
-struct ApplyResult {
-  ApplyOutcome Outcome = ApplyOutcome::Unknown;
-  std::uint64_t Version = 0; ///< If accepted.
-  bool ReadBack = false;     ///< Found by reading, as an answer was lost.
-  Error Fault{Code::Ok, ""};
+/// \brief Another operator's rules are in force; nothing was changed.
+struct RulesConflict {
+  StoredRules Current;
 };
 
-/// \returns \p Text cut into parts, at ends of lines where possible.
-std::vector<std::string> splitRules(std::string_view Text);
+/// \brief The platform did not say whether the update took effect.
+struct RulesUnclear {
+  std::string Detail;
+};
 
-/// \returns the accepted rules.
-Expected<StoredRules> readRules(PlatformClient &Platform);
+using ApplyResult = std::variant<RulesAccepted, RulesConflict, RulesUnclear>;
 
-/// \brief Accepts \p Text if the rules are still those of version \p Base.
+/// \brief Reads and replaces the rules text at the platform.
 ///
-/// The parts are written first, the head last, so that no reader ever finds a
-/// head without its parts. An update of the head without an answer is sent
-/// again: it takes effect once at most, since it names the base.
-ApplyResult applyRules(PlatformClient &Platform, const std::string &Text,
-                       std::uint64_t Base);
+/// Parts are stored under their digest before the head names them, so a reader
+/// of any head finds all its parts. The conditional update of the head is the
+/// moment of acceptance.
+class RulesStore {
+public:
+  explicit RulesStore(PlatformClient &Platform) : Platform(Platform) {}
+
+  /// \returns the text whose head object has the value \p Head.
+  Expected<std::string> assemble(const std::string &Head);
+
+  /// \returns the rules in force.
+  Expected<StoredRules> read();
+
+  /// \brief Replaces the rules if their version is still \p Base.
+  ///
+  /// An update without an answer is sent again, then the head is read back: if
+  /// it holds this text, the update was accepted, whoever wrote it. If it holds
+  /// another one, this text may have been in force before, so the result is
+  /// RulesUnclear.
+  Expected<ApplyResult> apply(const std::string &Text, std::uint64_t Base);
+
+private:
+  Expected<std::string> storeParts(const std::string &Text);
+  Expected<ApplyResult> readBack(const std::string &Text, std::uint64_t Base,
+                                 const Error &Fault);
+
+  PlatformClient &Platform;
+};
 
 } // namespace balsamyard
--- a/tests/PlatformClientTest.cpp
+++ b/tests/PlatformClientTest.cpp
@@ -1,5 +1,6 @@
 #include "balsamyard/src/Process/PlatformClient.h"
-#include "tests/LocalPlatform.h"
+#include "apps/standin-platform/PlatformStandIn.h"
+#include "tests/LocalServer.h"
 
 #include <catch2/catch.hpp>
 #include <thread>
@@ -9,6 +10,11 @@
 
 namespace {
 
+void setFault(const Endpoint &At, const std::string &Body) {
+  httplib::Client Client(At.Address, At.Port);
+  REQUIRE(Client.Post("/fault", Body, "application/json")->status == 200);
+}
+
 Code errorOf(const Expected<std::uint64_t> &Result) {
   return Result ? Code::Ok : Result.error().Value;
 }
