--- a/apps/standin-deployment/Deployment.h
+++ b/apps/standin-deployment/Deployment.h
@@ -64,6 +64,8 @@
   std::uint32_t RequestsPerSecond = 100;
   std::chrono::seconds Length{20};
   double WriteShare = 0.05;
+  double MovedShare = 0.4;         ///< Requests for the service that moves.
+  std::chrono::seconds MoveIn{35}; ///< Time of the move, after generation.
 };
 
 /// \brief Writes settings, catalogs, targets, rules, trace, expectations and
--- a/apps/standin-deployment/DeploymentFiles.cpp
+++ b/apps/standin-deployment/DeploymentFiles.cpp
@@ -97,23 +97,35 @@
          " route=* to=v2 by=" + Text + "  # asked by the release desk\n";
 }
 
-/// A target whose loss the trace provokes: the first slot of the second
-/// service.
+/// A target that turns cold without warning during the trace: the first slot of
+/// the second service.
 const CatalogSlot &crashedSlot(const Deployment &From) {
   return From.Services[1].Leaves.front().Slots.front();
 }
 
+/// A target with a process of its own, so that a script can kill it: the first
+/// slot of the third service.
+const CatalogSlot &killableSlot(const Deployment &From) {
+  return From.Services[2].Leaves.front().Slots.front();
+}
+
 std::string recordedTrace(const Deployment &From, const TraceOptions &Options) {
   boost::random::mt19937_64 Random(Options.Seed);
   boost::random::bernoulli_distribution<> IsWrite(Options.WriteShare);
   boost::random::uniform_int_distribution<std::size_t> PickService(
       0, From.Services.size() - 1);
+  boost::random::bernoulli_distribution<> IsMoved(Options.MovedShare);
   boost::random::uniform_int_distribution<int> PickWord(0, 499);
   const std::chrono::microseconds Step =
       std::chrono::microseconds(std::chrono::seconds(1)) /
       Options.RequestsPerSecond;
   const auto Count = Options.Length / Step;
   std::string Result;
+  Result += Json{{"at_ms", 500},
+                 {"kind", "rules"},
+                 {"body", baseRules(From) + moveRule(From, Options.MoveIn)}}
+                .dump() +
+            "\n";
   bool Crashed = false;
   for (std::int64_t Number = 0; Number < Count; ++Number) {
     const auto At =
@@ -128,7 +140,8 @@
                     .dump() +
                 "\n";
     }
-    const ServiceCatalog &Service = From.Services[PickService(Random)];
+    const std::size_t Picked = PickService(Random);
+    const ServiceCatalog &Service = From.Services[IsMoved(Random) ? 0 : Picked];
     const bool Write = IsWrite(Random);
     Json Body = {{"text", "word-" + std::to_string(PickWord(Random))}};
     if (Write)
@@ -154,8 +167,13 @@
     Entries += toText(Node.EntryHttp) + " ";
     Holders += toText(Node.HolderHttp) + " ";
   }
+  std::string Next;
+  for (const CatalogLeaf &Leaf : From.Services.front().Leaves)
+    for (const CatalogSlot &Slot : Leaf.Slots)
+      if (Slot.Version.Text == "v2")
+        Next += toText(Slot.Address) + " ";
   return "PLATFORM=" + toText(From.Platform) + "\nENTRIES=\"" + Entries +
-         "\"\nHOLDERS=\"" + Holders + "\"\n";
+         "\"\nHOLDERS=\"" + Holders + "\"\nNEXT_VERSION=\"" + Next + "\"\n";
 }
 
 } // namespace
@@ -169,20 +187,21 @@
                           (Root / "objects").string() + "\n";
   writeFile(Root / "objects" / "vms.json", vmList(From));
 
-  std::map<std::string, std::string> TargetsOfDomain;
+  std::map<std::string, std::string> TargetFiles;
   for (const ServiceCatalog &Service : From.Services) {
     writeFile(Root / "objects" / "shared" / "catalog" / Service.Name.Text,
               toJson(Service));
     for (const CatalogLeaf &Leaf : Service.Leaves)
       for (const CatalogSlot &Slot : Leaf.Slots)
-        TargetsOfDomain[Slot.Domain.Text] +=
+        TargetFiles[Slot.Address == killableSlot(From).Address
+                        ? "targets-killable"
+                        : "targets-" + Slot.Domain.Text] +=
             targetSettings(From, Service, Leaf.Index, Slot);
   }
-  for (const auto &[Domain, Text] : TargetsOfDomain) {
-    const auto Path = Root / ("targets-" + Domain + ".toml");
+  for (const auto &[Name, Text] : TargetFiles) {
+    const auto Path = Root / (Name + ".toml");
     writeFile(Path, Text);
-    Processes += "targets-" + Domain + " standin-target --config " +
-                 Path.string() + "\n";
+    Processes += Name + " standin-target --config " + Path.string() + "\n";
   }
   for (const DeployedNode &Node : From.Nodes)
     for (const char *Process : {"holder", "entry"}) {
@@ -197,7 +216,7 @@
   writeFile(Root / "addresses.sh", addressList(From));
   writeFile(Root / "rules.txt", baseRules(From));
   writeFile(Root / "rules-move.txt",
-            baseRules(From) + moveRule(From, Options.Length));
+            baseRules(From) + moveRule(From, Options.MoveIn));
   writeFile(Root / "trace.jsonl", recordedTrace(From, Options));
 }
 
--- a/apps/standin-deployment/main.cpp
+++ b/apps/standin-deployment/main.cpp
@@ -21,6 +21,7 @@
   Trace.Seed = Parsed["seed"].as<std::uint64_t>();
   Trace.RequestsPerSecond = Parsed["rate"].as<std::uint32_t>();
   Trace.Length = std::chrono::seconds(Parsed["seconds"].as<std::uint32_t>());
+  Trace.MoveIn = std::chrono::seconds(Parsed["move-in"].as<std::uint32_t>());
   const std::uint32_t Nodes = Parsed["nodes"].as<std::uint32_t>();
   if (Trace.RequestsPerSecond == 0 || Trace.Length.count() == 0 || Nodes == 0) {
     std::cerr << "standin-deployment: --rate, --seconds and --nodes must be "
@@ -48,6 +49,8 @@
       cxxopts::value<std::uint32_t>()->default_value("100"))(
       "seconds", "length of the trace",
       cxxopts::value<std::uint32_t>()->default_value("20"))(
+      "move-in", "seconds from now until the version move is due",
+      cxxopts::value<std::uint32_t>()->default_value("35"))(
       "nodes", "nodes per failure domain",
       cxxopts::value<std::uint32_t>()->default_value("2"))(
       "help", "print this text")("version", "print the version");
