Give a new process a small advance of retries and explain failed leaves

Change: the budget starts with an advance of 16 requests that the first 320 attempts pay back, so extra requests never exceed 5% or 16. A leaf that waits for the budget waits for half of the time. The log names the last failure of a leaf. Bodies are read without the library's limit of 8 KB for forms, only names of the catalog become metric labels, and statistics of names that are gone are forgotten.

Ruled out: a full bucket at the start (64 requests would exceed 5% until 1,280 attempts were made).

--- a/apps/balsamyard-entry/CallerServer.cpp
+++ b/apps/balsamyard-entry/CallerServer.cpp
@@ -24,7 +24,7 @@
 
 /// Messages between own processes are limited to MaxMessageBytes; this is kept
 /// back for what accompanies the body.
-constexpr std::size_t MessageOverhead = 128 * 1024;
+constexpr std::size_t MessageOverhead = 131072;
 
 std::optional<std::string> header(const httplib::Request &From,
                                   const char *Name) {
@@ -110,8 +110,22 @@
 
 void CallerServer::addRoutes() {
   this->Server.Post("/v1/(search|write)/([^/]+)/([^/]+)",
-                    [this](const httplib::Request &From,
-                           httplib::Response &To) { this->serve(From, To); });
+                    [this](const httplib::Request &From, httplib::Response &To,
+                           const httplib::ContentReader &Reader) {
+                      // The body is read here, because the library would take
+                      // it for a form and limit it to 8 KB if the caller states
+                      // no other type.
+                      std::string Body;
+                      const bool Whole =
+                          Reader([&](const char *Data, std::size_t Length) {
+                            Body.append(Data, Length);
+                            return true;
+                          });
+                      if (Whole)
+                        this->serve(From, std::move(Body), To);
+                      else if (To.status < 400)
+                        To.status = 400;
+                    });
   this->Server.Get("/health",
                    [this](const httplib::Request &, httplib::Response &To) {
                      this->closeIfNeeded(To);
@@ -145,7 +159,7 @@
   });
   this->Server.set_exception_handler([this](const httplib::Request &From,
                                             httplib::Response &To,
-                                            std::exception_ptr Fault) {
+                                            const std::exception_ptr &Fault) {
     logEvent(LogLevel::Error, "request-failed",
              {{"request", From.get_header_value("Request-Id")},
               {"detail", describe(Fault)}});
@@ -155,27 +169,28 @@
   });
 }
 
-void CallerServer::serve(const httplib::Request &From, httplib::Response &To) {
+void CallerServer::serve(const httplib::Request &From, std::string Body,
+                         httplib::Response &To) {
   const TimePoint Now = steadyNow();
   const TimePoint Arrived = CallerPool::takeAcceptTime().value_or(Now);
   InFlightPlace Place(this->State.InFlight);
   this->closeIfNeeded(To);
   CallerRequest Checked;
   const CallerAnswer Answer =
-      this->answer(From, Arrived, Place.taken(), Checked);
+      this->answer(From, std::move(Body), Arrived, Place.taken(), Checked);
   this->send(Answer, To);
   this->report(Checked, Answer, steadyNow() - Arrived);
 }
 
 CallerAnswer CallerServer::answer(const httplib::Request &From,
-                                  TimePoint Arrived, bool Admitted,
-                                  CallerRequest &Checked) {
+                                  std::string Body, TimePoint Arrived,
+                                  bool Admitted, CallerRequest &Checked) {
   RawRequest Raw;
   Raw.Kind =
       From.matches[1] == "search" ? RequestKind::Search : RequestKind::Write;
   Raw.Service = From.matches[2];
   Raw.Route = From.matches[3];
-  Raw.Body = From.body;
+  Raw.Body = std::move(Body);
   Raw.Arrived = Arrived;
   for (auto [Name, Value] : {std::pair{"Deadline-Ms", &Raw.DeadlineMs},
                              std::pair{"Request-Id", &Raw.RequestId},
@@ -208,15 +223,22 @@
 
 void CallerServer::report(const CallerRequest &Request,
                           const CallerAnswer &Answer, Duration Took) {
-  const std::string Labels =
-      "service=\"" + Request.Service.Text + "\",code=\"" +
-      std::to_string(static_cast<int>(Answer.Result)) + "\"";
-  this->State.Numbers.add("balsamyard_requests_total", Labels);
-  this->State.Numbers.observe("balsamyard_request_seconds",
-                              "service=\"" + Request.Service.Text + "\"", Took);
+  // Only names of the catalog become labels; a caller could otherwise create
+  // any number of series.
+  const bool IsKnown =
+      this->State.Index.read()->service(Request.Service) != nullptr;
+  const std::string Service =
+      "service=\"" + (IsKnown ? Request.Service.Text : "") + "\"";
+  this->State.Numbers.add("balsamyard_requests_total",
+                          Service + ",code=\"" +
+                              std::to_string(static_cast<int>(Answer.Result)) +
+                              "\"");
+  this->State.Numbers.observe("balsamyard_request_seconds", Service, Took);
   const bool Answered = isSuccess(Answer.Result);
   logEvent(Answered ? LogLevel::Info : LogLevel::Warning,
-           Answered ? "query-answered" : "request-refused",
+           !Answered                             ? "request-refused"
+           : Request.Kind == RequestKind::Search ? "query-answered"
+                                                 : "write-answered",
            {{"request", Answer.Request.Text},
             {"service", Request.Service.Text},
             {"route", Request.Route.Text},
--- a/apps/balsamyard-entry/CallerServer.h
+++ b/apps/balsamyard-entry/CallerServer.h
@@ -27,9 +27,10 @@
 
 private:
   void addRoutes();
-  void serve(const httplib::Request &From, httplib::Response &To);
-  CallerAnswer answer(const httplib::Request &From, TimePoint Arrived,
-                      bool Admitted, CallerRequest &Checked);
+  void serve(const httplib::Request &From, std::string Body,
+             httplib::Response &To);
+  CallerAnswer answer(const httplib::Request &From, std::string Body,
+                      TimePoint Arrived, bool Admitted, CallerRequest &Checked);
   void send(const CallerAnswer &Answer, httplib::Response &To);
   void report(const CallerRequest &Request, const CallerAnswer &Answer,
               Duration Took);
--- a/apps/balsamyard-entry/QueryRunner.cpp
+++ b/apps/balsamyard-entry/QueryRunner.cpp
@@ -196,17 +196,19 @@
   Numbers.add("balsamyard_retries_total", Labels, Counts.Retries);
   Numbers.add("balsamyard_extra_denied_total", Labels, Counts.Denied);
   Numbers.add("balsamyard_replies_dropped_total", Labels, Counts.Dropped);
-  if (Merged.Result == Code::Partial)
-    logEvent(LogLevel::Warning, "query-partial",
+  if (Merged.Result != Code::Ok)
+    logEvent(LogLevel::Warning, "query-incomplete",
              {{"request", Request.Id.Text},
               {"service", Request.Service.Text},
               {"route", Request.Route.Text},
               {"version", Routes->Version.Text},
+              {"code", Merged.Result},
               {"shards_answered", std::int64_t(Merged.Covered.ShardsAnswered)},
               {"shards_asked", std::int64_t(Merged.Covered.ShardsAsked)},
               {"hedges", std::int64_t(Counts.Hedges)},
               {"retries", std::int64_t(Counts.Retries)},
-              {"denied", std::int64_t(Counts.Denied)}});
+              {"denied", std::int64_t(Counts.Denied)},
+              {"leaf_failure", std::string(name(Counts.LastFailure))}});
 
   CallerAnswer Answer;
   Answer.Result = Merged.Result;
--- a/apps/balsamyard-entry/main.cpp
+++ b/apps/balsamyard-entry/main.cpp
@@ -81,7 +81,8 @@
   PeerClient Peers(ClientThreads);
   ControlAgent Agent(Own, ProcessRole::Entry, Peers);
   IndexUpdater Updater(State, Agent);
-  Agent.onChange([&](Ref<const RoutingView>) { Updater.update(); });
+  Agent.onChange(
+      [&](const Ref<const RoutingView> & /*Newest*/) { Updater.update(); });
   Agent.onNotice([&](const Notice &News) { onNotice(State, News); });
 
   auto Control = PeerServer::listen(
--- a/balsamyard/src/Connection/SlotStats.cpp
+++ b/balsamyard/src/Connection/SlotStats.cpp
@@ -117,29 +117,44 @@
   return this->UsualInFlight.load(std::memory_order_relaxed);
 }
 
+void StatsTable::beginVersion() {
+  std::lock_guard<std::mutex> Lock(this->Mutex);
+  ++this->CurrentVersion;
+  auto IsOld = [&](const auto &Item) {
+    return Item.second.UsedIn + KeptVersions < this->CurrentVersion;
+  };
+  std::erase_if(this->Slots, IsOld);
+  std::erase_if(this->Holders, IsOld);
+  std::erase_if(this->Services, IsOld);
+}
+
+template <typename Key, typename Stats>
+Ref<Stats> StatsTable::find(std::map<Key, Entry<Stats>> &Table,
+                            const Key &Name) {
+  std::lock_guard<std::mutex> Lock(this->Mutex);
+  Entry<Stats> &Found = Table[Name];
+  if (!Found.Object)
+    Found.Object = makeRef<Stats>();
+  Found.UsedIn = this->CurrentVersion;
+  return Found.Object;
+}
+
 Ref<SlotStats> StatsTable::slot(const SlotKey &Key, const VersionName &Version,
                                 const Endpoint &Address) {
-  std::lock_guard<std::mutex> Lock(this->Mutex);
-  Ref<SlotStats> &Entry = this->Slots[{Key, Version, Address}];
-  if (!Entry)
-    Entry = makeRef<SlotStats>();
-  return Entry;
+  return this->find(this->Slots, SlotIdentity{Key, Version, Address});
 }
 
 Ref<HolderStats> StatsTable::holder(const NodeName &Node) {
-  std::lock_guard<std::mutex> Lock(this->Mutex);
-  Ref<HolderStats> &Entry = this->Holders[Node];
-  if (!Entry)
-    Entry = makeRef<HolderStats>();
-  return Entry;
+  return this->find(this->Holders, Node);
 }
 
 Ref<ServiceStats> StatsTable::service(const ServiceName &Service) {
+  return this->find(this->Services, Service);
+}
+
+std::size_t StatsTable::size() const {
   std::lock_guard<std::mutex> Lock(this->Mutex);
-  Ref<ServiceStats> &Entry = this->Services[Service];
-  if (!Entry)
-    Entry = makeRef<ServiceStats>();
-  return Entry;
+  return this->Slots.size() + this->Holders.size() + this->Services.size();
 }
 
 } // namespace balsamyard
--- a/balsamyard/src/Connection/SlotStats.h
+++ b/balsamyard/src/Connection/SlotStats.h
@@ -124,11 +124,21 @@
 /// is built, not on the path of a request.
 class StatsTable {
 public:
+  /// \brief Versions that may be built without a name before its statistics
+  /// are forgotten. VMs are replaced all the time, so names do not come back.
+  static constexpr std::uint64_t KeptVersions = 64;
+
+  /// \brief Starts a new version and forgets what was not used lately.
+  void beginVersion();
+
   Ref<SlotStats> slot(const SlotKey &Key, const VersionName &Version,
                       const Endpoint &Address);
   Ref<HolderStats> holder(const NodeName &Node);
   Ref<ServiceStats> service(const ServiceName &Service);
 
+  /// \returns the number of names.
+  std::size_t size() const;
+
 private:
   struct SlotIdentity {
     SlotKey Key;
@@ -137,10 +147,19 @@
     auto operator<=>(const SlotIdentity &) const = default;
   };
 
-  std::mutex Mutex;
-  std::map<SlotIdentity, Ref<SlotStats>> Slots;
-  std::map<NodeName, Ref<HolderStats>> Holders;
-  std::map<ServiceName, Ref<ServiceStats>> Services;
+  template <typename Stats> struct Entry {
+    Ref<Stats> Object;
+    std::uint64_t UsedIn = 0;
+  };
+
+  template <typename Key, typename Stats>
+  Ref<Stats> find(std::map<Key, Entry<Stats>> &Table, const Key &Name);
+
+  mutable std::mutex Mutex;
+  std::uint64_t CurrentVersion = 0;
+  std::map<SlotIdentity, Entry<SlotStats>> Slots;
+  std::map<NodeName, Entry<HolderStats>> Holders;
+  std::map<ServiceName, Entry<ServiceStats>> Services;
 };
 
 } // namespace balsamyard
--- a/balsamyard/src/Process/ExtraLoadBudget.cpp
+++ b/balsamyard/src/Process/ExtraLoadBudget.cpp
@@ -7,8 +7,12 @@
 void ExtraLoadBudget::earn(std::uint32_t FirstAttempts, double Share) {
   this->First.fetch_add(FirstAttempts, std::memory_order_relaxed);
   const double Bounded = std::clamp(Share, 0.0, MaxShare);
-  const auto Earned = static_cast<std::int64_t>(
-      Bounded * FirstAttempts * static_cast<double>(PartsPerToken));
+  auto Earned = static_cast<std::int64_t>(Bounded * FirstAttempts *
+                                          static_cast<double>(PartsPerToken));
+  // Two threads may pay back the same part; that only makes the budget smaller.
+  if (this->Owed.load(std::memory_order_relaxed) > 0)
+    Earned -= std::clamp<std::int64_t>(
+        this->Owed.fetch_sub(Earned, std::memory_order_relaxed), 0, Earned);
   const std::int64_t Room = BurstRequests * PartsPerToken -
                             this->Parts.load(std::memory_order_relaxed);
   if (Room > 0)
--- a/balsamyard/src/Process/ExtraLoadBudget.h
+++ b/balsamyard/src/Process/ExtraLoadBudget.h
@@ -7,10 +7,11 @@
 
 /// \brief Bounds hedges and retries to a share of first attempts.
 ///
-/// One token bucket per process, shared by hedges and retries. It starts empty
-/// and only first attempts fill it, so extra requests never exceed the share,
-/// whatever the failures. Lock-free; every member may be called from any
-/// thread.
+/// One token bucket per process, shared by hedges and retries. Only first
+/// attempts fill it, so that extra requests stay within the share, whatever the
+/// failures. A new process gets a small advance that its first attempts pay
+/// back: extra requests never exceed the share or AdvanceRequests, whichever is
+/// more. Lock-free; every member may be called from any thread.
 class ExtraLoadBudget {
 public:
   /// \brief Highest share of first attempts that may be sent again.
@@ -20,6 +21,11 @@
   /// leaf groups (32 leaves each) at once.
   static constexpr std::int64_t BurstRequests = 64;
 
+  /// \brief Extra requests before any were earned. Without them a query of a
+  /// small service (2 leaves) could not be retried in the first ten queries
+  /// after a start, when targets are cold and refuse most often.
+  static constexpr std::int64_t AdvanceRequests = 16;
+
   /// \brief Credits \p FirstAttempts; \p Share is at most MaxShare.
   void earn(std::uint32_t FirstAttempts, double Share = MaxShare);
 
@@ -44,7 +50,8 @@
 private:
   static constexpr std::int64_t PartsPerToken = 1'000'000;
 
-  std::atomic<std::int64_t> Parts{0};
+  std::atomic<std::int64_t> Parts{AdvanceRequests * PartsPerToken};
+  std::atomic<std::int64_t> Owed{AdvanceRequests * PartsPerToken};
   std::atomic<std::uint64_t> First{0};
   std::atomic<std::uint64_t> Spent{0};
   std::atomic<std::uint64_t> Denied{0};
--- a/balsamyard/src/Request/Query.cpp
+++ b/balsamyard/src/Request/Query.cpp
@@ -195,8 +195,9 @@
   // first leaves.
   const auto Count = static_cast<std::uint32_t>(this->Leaves.size());
   const std::uint32_t Offset = Count == 0 ? 0 : this->Random.below(Count);
+  // Other queries fill the budget meanwhile; the second half of the time is
+  // left for their own retries.
   const bool GiveUpWaiting =
-      this->AnsweredLeaves == 0 ||
       Now - this->Started >= (this->Input.Deadline - this->Started) / 2;
   for (std::uint32_t Step = 0; Step < Count; ++Step) {
     const std::uint32_t Leaf =
@@ -280,6 +281,7 @@
 void Query::attemptFailed(std::uint32_t Leaf, Attempt &Failed, Code Result,
                           TimePoint Now, QueryEffects &Effects) {
   const SlotRoute &Slot = this->Routes.Slots[Failed.Slot];
+  this->Counts.LastFailure = Result;
   if (!saysNotRun(Result) && Result != Code::PeerUnreachable)
     this->MayHaveRun = true;
   if (!isOverload(Result))
--- a/balsamyard/src/Request/Query.h
+++ b/balsamyard/src/Request/Query.h
@@ -94,8 +94,9 @@
   std::uint32_t Batches = 0;
   std::uint32_t Hedges = 0;
   std::uint32_t Retries = 0;
-  std::uint32_t Denied = 0;  ///< Extra requests that the budget refused.
-  std::uint32_t Dropped = 0; ///< Replies that matched no open attempt.
+  std::uint32_t Denied = 0;    ///< Extra requests that the budget refused.
+  std::uint32_t Dropped = 0;   ///< Replies that matched no open attempt.
+  Code LastFailure = Code::Ok; ///< Of a leaf; Ok if none failed.
 };
 
 /// \brief Decides about one search: which slots are asked, what is sent again,
--- a/balsamyard/src/Version/ServiceIndex.cpp
+++ b/balsamyard/src/Version/ServiceIndex.cpp
@@ -209,6 +209,7 @@
 Ref<const RoutingIndex> buildIndex(Ref<const RoutingView> View,
                                    const Location &Own, StatsTable &Stats) {
   Ref<RoutingIndex> Result = makeRef<RoutingIndex>();
+  Stats.beginVersion();
   Result->View = std::move(View);
   for (const auto &[Name, Catalog] : Result->View->Services)
     Result->Services.emplace(
--- a/tests/ReplicaChoiceTest.cpp
+++ b/tests/ReplicaChoiceTest.cpp
@@ -234,3 +234,31 @@
     CHECK(Second != First);
   }
 }
+
+// Guards against memory that grows with each replaced VM, and against history
+// that is lost on each change of the configuration.
+TEST_CASE("statistics follow the routing data", "[choice]") {
+  StatsTable Stats;
+  const WorldShape Shape{.Leaves = 2, .Slots = 3, .NodesPerDomain = 1};
+  Ref<RoutingView> View = makeView(Shape);
+  Ref<const RoutingIndex> First = buildIndex(View, makeLocation(), Stats);
+  const SlotStats *Slot =
+      First->service({"portal"})->Versions[0].Slots[0].Stats.get();
+
+  SECTION("a slot keeps its history from version to version") {
+    Ref<const RoutingIndex> Next = buildIndex(View, makeLocation(), Stats);
+    CHECK(Next->service({"portal"})->Versions[0].Slots[0].Stats.get() == Slot);
+  }
+
+  SECTION("replaced targets are forgotten") {
+    for (std::uint16_t Version = 1; Version <= 500; ++Version) {
+      Ref<RoutingView> Next = makeRef<RoutingView>(*View);
+      for (CatalogLeaf &Leaf : Next->Services[{"portal"}].Leaves)
+        for (CatalogSlot &Replica : Leaf.Slots)
+          Replica.Address.Port = static_cast<std::uint16_t>(
+              Version * 100 + Leaf.Index * 10 + Replica.Index);
+      buildIndex(Next, makeLocation(), Stats);
+    }
+    CHECK(Stats.size() <= (StatsTable::KeptVersions + 2) * 6 + 4);
+  }
+}
