--- a/balsamyard/src/Process/ControlAgent.cpp
+++ b/balsamyard/src/Process/ControlAgent.cpp
@@ -5,7 +5,9 @@
 #include "balsamyard/src/Process/ConfigSpread.h"
 #include "balsamyard/src/Process/GossipCodec.h"
 #include "balsamyard/src/Process/Log.h"
+#include "balsamyard/src/Process/RulesStore.h"
 #include "balsamyard/src/Version/RulesDelta.h"
+#include "balsamyard/src/Version/VersionMove.h"
 
 #include <array>
 #include <asio.hpp>
@@ -67,8 +69,8 @@
 }
 
 /// A document in the form that requests use.
-using ParsedDocument =
-    std::variant<std::monostate, Rules, ServiceCatalog, ShareTable, GateTable>;
+using ParsedDocument = std::variant<std::monostate, Rules, ServiceCatalog,
+                                    ShareTable, GateTable, MoveState>;
 
 template <typename T> Expected<ParsedDocument> widen(Expected<T> Value) {
   if (!Value)
@@ -93,6 +95,8 @@
     return widen(parseCatalog(Text));
   if (Name.starts_with("shares/"))
     return widen(parseShareTable(Text));
+  if (Name.starts_with("moves/"))
+    return widen(parseMoveState(Text));
   return ParsedDocument();
 }
 
@@ -157,7 +161,6 @@
 
     void runPlatform();
     ConfigEvent readPlatform(const ReadPlatform &Job);
-    Expected<std::string> readRules(const std::string &Head);
     void readVms();
 
     void runViews();
@@ -424,7 +427,8 @@
       return PlatformFailed{};
     std::string Text = std::move(Object->Value);
     if (IsRules) {
-      Expected<std::string> Whole = this->readRules(Text);
+      Expected<std::string> Whole =
+          RulesStore(this->Platform).assemble(Text);
       if (!Whole) {
         logEvent(LogLevel::Error, "document-refused",
                  {{"document", Name},
@@ -443,29 +447,6 @@
   return Result;
 }
 
-Expected<std::string>
-ControlAgent::Impl::Core::readRules(const std::string &Head) {
-  nlohmann::json Value = nlohmann::json::parse(Head, nullptr, false);
-  if (!Value.is_object() || !Value.contains("parts") ||
-      !Value["parts"].is_array() || !Value.contains("digest") ||
-      !Value["digest"].is_string())
-    return fail(Code::PlatformMalformed,
-                "rules head: expected an object with 'parts' and 'digest'");
-  std::string Text;
-  for (const nlohmann::json &Part : Value["parts"]) {
-    if (!Part.is_string())
-      return fail(Code::PlatformMalformed, "rules head: expected digests");
-    Expected<PlatformObject> Object =
-        this->Platform.get("rules-part/" + Part.get<std::string>());
-    if (!Object)
-      return tl::unexpected(Object.error());
-    Text += Object->Value;
-  }
-  if (digestOf(Text) != Value["digest"].get<std::string>())
-    return fail(Code::DigestMismatch, "rules: parts do not match the head");
-  return Text;
-}
-
 void ControlAgent::Impl::Core::readVms() {
   Expected<std::vector<PlatformVm>> List = this->Platform.vms();
   if (!List)
@@ -552,21 +533,26 @@
     this->parseChanged(Texts);
     for (const auto &[Name, Document] : this->Parsed)
       std::visit(
-          Overload{[](std::monostate) {},
-                   [&](const Rules &Value) { Next->Configuration = Value; },
-                   [&](const ServiceCatalog &Value) {
-                     Next->Services[Value.Name] = Value;
-                   },
-                   [&](const ShareTable &Value) {
-                     Next->Shares[Value.Domain] = Value;
-                   },
-                   [&](const GateTable &Value) { Next->Gates = Value; }},
+          Overload{
+              [](std::monostate) {},
+              [&](const Rules &Value) { Next->Configuration = Value; },
+              [&](const ServiceCatalog &Value) {
+                Next->Services[Value.Name] = Value;
+              },
+              [&](const ShareTable &Value) {
+                Next->Shares[Value.Domain] = Value;
+              },
+              [&](const GateTable &Value) { Next->Gates = Value; },
+              [&](const MoveState &Value) {
+                Next->Splits[{Value.Service, Value.Route}] = splitOf(Value);
+                // A notice only counts for the rule that it was sent for.
+                auto Back = TakenBack.find({Value.Service, Value.Route});
+                if (Back != TakenBack.end() &&
+                    Back->second.Version == Value.To &&
+                    Back->second.RuleVersion == moveRuleNumber(Value.Rule))
+                  Next->Splits[{Value.Service, Value.Route}].NextShare = 0;
+              }},
           Document);
-    for (const auto &[Route, Back] : TakenBack) {
-      auto Split = Next->Splits.find(Route);
-      if (Split != Next->Splits.end() && Split->second.Next == Back.Version)
-        Split->second.NextShare = 0;
-    }
     this->View.publish(Next);
     for (const auto &Handler : Handlers)
       Handler(Next);
