Report an entry as ready only once it knows a usable slot

Change: /health stays not-ready until one slot was usable once. It does not go back, so that a fault of all targets does not take every entry out of the load balancer.

--- a/apps/balsamyard-entry/EntryState.h
+++ b/apps/balsamyard-entry/EntryState.h
@@ -23,6 +23,11 @@
   RcuCell<RoutingIndex> Index; ///< Rebuilt for each routing view.
   std::atomic<bool> Stopping{false};
 
+  /// Set for good once some slot was usable. A starting process has its
+  /// configuration before it knows which lane owners are alive, and would
+  /// refuse every search until then.
+  std::atomic<bool> FoundSlots{false};
+
 private:
   static Ref<const RoutingIndex> emptyIndex() {
     Ref<RoutingIndex> Index = makeRef<RoutingIndex>();
--- a/apps/balsamyard-entry/StatusPage.cpp
+++ b/apps/balsamyard-entry/StatusPage.cpp
@@ -34,7 +34,8 @@
 HealthPage healthPage(const EntryState &State) {
   if (State.Stopping.load(std::memory_order_relaxed))
     return {503, R"({"state":"leaving"})"};
-  if (!State.Index.read()->View->Ready)
+  if (!State.Index.read()->View->Ready ||
+      !State.FoundSlots.load(std::memory_order_relaxed))
     return {503, R"({"state":"not-ready"})"};
   return {200, R"({"state":"ready"})"};
 }
--- a/apps/balsamyard-entry/main.cpp
+++ b/apps/balsamyard-entry/main.cpp
@@ -40,6 +40,14 @@
               << ": " << Fault.Detail << '\n';
 }
 
+bool hasUsableSlots(const RoutingIndex &Index) {
+  for (const auto &[Name, Service] : Index.Services)
+    for (const VersionRoutes &Routes : Service->Versions)
+      if (Routes.ServedLeaves > 0)
+        return true;
+  return false;
+}
+
 /// Keeps the index up to date with the routing view.
 class IndexUpdater {
 public:
@@ -51,9 +59,11 @@
     // wrong order.
     std::lock_guard<std::mutex> Lock(this->Mutex);
     const Settings &Own = this->State.Own;
-    this->State.Index.publish(buildIndex(this->Agent.view().read(),
-                                         {Own.Domain, Own.Region},
-                                         this->State.Stats));
+    Ref<const RoutingIndex> Next = buildIndex(
+        this->Agent.view().read(), {Own.Domain, Own.Region}, this->State.Stats);
+    if (hasUsableSlots(*Next))
+      this->State.FoundSlots.store(true, std::memory_order_relaxed);
+    this->State.Index.publish(std::move(Next));
   }
 
 private:
