--- a/apps/balsamyard-holder/GateService.cpp
+++ b/apps/balsamyard-holder/GateService.cpp
@@ -131,14 +131,14 @@
     std::lock_guard<std::mutex> Lock(this->OwnedMutex);
     this->Owned = makeRef<const OwnedShares>(Owned);
   }
-  const GateTable &Table = Owned.Writers;
+  const GateTable &Table = Owned.Table;
   if (Table.Version == 0)
     return;
   for (std::size_t Number = 0; Number < WriteGateCount; ++Number) {
     const GateOwner &Owner = Table.Gates[Number];
-    // Without an owner here, the gate is about to be given away or the keeper
-    // was paused; stopGates() and the pause check of the gate see to that.
-    if (Owner.Node.empty())
+    // A gate that is listed here but may not be used is about to be given away,
+    // or the keeper was paused; stopGates() and the gate itself see to that.
+    if (Owner.Node == this->State.Own.Node && !Owned.Gates.contains(Number))
       continue;
     if (Owned.Gates.contains(Number))
       this->apply(Number, GiveAwaySettled{Table.Version});
--- a/apps/balsamyard-holder/StatusServer.cpp
+++ b/apps/balsamyard-holder/StatusServer.cpp
@@ -1,6 +1,7 @@
 #include "apps/balsamyard-holder/StatusServer.h"
 
 #include <nlohmann/json.hpp>
+#include <sys/socket.h>
 
 namespace balsamyard::holder {
 
@@ -22,6 +23,11 @@
   };
   this->Server.set_tcp_nodelay(true);
   this->Server.set_keep_alive_timeout(KeepAliveTimeout.count());
+  this->Server.set_socket_options([this](int Socket) {
+    const int On = 1;
+    ::setsockopt(Socket, SOL_SOCKET, SO_REUSEADDR, &On, sizeof(On));
+    this->ListenSocket = Socket;
+  });
   this->Server.Get("/health", [this](const auto &, httplib::Response &To) {
     const bool Ready = this->State.Agent.view().read()->Ready;
     const bool Leaving = this->State.Leaving.load();
@@ -53,8 +59,10 @@
 void StatusServer::stop() {
   if (!this->Listener.joinable())
     return;
-  this->Server.stop();
+  // Server::stop() has no effect before the server accepts connections.
+  ::shutdown(this->ListenSocket, SHUT_RDWR);
   this->Listener.join();
+  this->ListenSocket = -1;
 }
 
 std::string StatusServer::statusPage() const {
--- a/apps/balsamyard-holder/StatusServer.h
+++ b/apps/balsamyard-holder/StatusServer.h
@@ -24,6 +24,7 @@
   SlotTable &Slots;
   GateService &Gates;
   httplib::Server Server;
+  int ListenSocket = -1;
   std::thread Listener;
 };
 
--- a/apps/standin-target/TargetServer.cpp
+++ b/apps/standin-target/TargetServer.cpp
@@ -344,7 +344,8 @@
 void TargetServer::stop() {
   if (!this->Implementation->Acceptor.joinable())
     return;
-  this->Implementation->Http.stop();
+  // Server::stop() has no effect before the server accepts connections.
+  ::shutdown(this->Implementation->Listener, SHUT_RDWR);
   this->Implementation->Http.resetAll();
   this->Implementation->Acceptor.join();
 }
--- a/balsamyard/src/Connection/SlotLimiter.cpp
+++ b/balsamyard/src/Connection/SlotLimiter.cpp
@@ -94,12 +94,12 @@
   this->release();
   if (Event.Ticket.Generation != this->Generation)
     return {};
-  if (Event.State == TargetState::Leaving)
-    return this->becomeLeaving({true, Now}, true);
   const bool Restarted = Event.Incarnation != 0 && this->Incarnation != 0 &&
                          Event.Incarnation != this->Incarnation;
   if (Event.Incarnation != 0)
     this->Incarnation = Event.Incarnation;
+  if (Event.State == TargetState::Leaving)
+    return this->becomeLeaving({true, Now}, true);
   if (Restarted)
     return this->becomeCold(ColdReason::NewIncarnation, Now);
   if (this->isLeaving() || Event.Ticket.Epoch != this->Epoch)
@@ -141,12 +141,13 @@
   const auto *Leaving = std::get_if<LeavingSlot>(&this->State);
   if (!Leaving)
     return {};
-  const bool Restarted = Event.Incarnation != 0 && this->Incarnation != 0 &&
-                         Event.Incarnation != this->Incarnation;
-  if (Restarted)
-    this->Incarnation = Event.Incarnation;
-  else if (Leaving->SaidInAnswer || Now - Leaving->LastSaid < LeavingDoubt)
+  const bool Known = this->Incarnation != 0;
+  const bool Restarted = Known && Event.Incarnation != this->Incarnation;
+  // Without a known incarnation only time tells that the target came back.
+  const bool Doubtful = !Leaving->SaidInAnswer || !Known;
+  if (!Restarted && (!Doubtful || Now - Leaving->LastSaid < LeavingDoubt))
     return {};
+  this->Incarnation = Event.Incarnation;
   return this->becomeCold(ColdReason::NewIncarnation, Now);
 }
 
