--- a/apps/balsamyardctl/RulesCommands.cpp
+++ b/apps/balsamyardctl/RulesCommands.cpp
@@ -66,8 +66,7 @@
          Line < Edit.First + Edit.Removed && Line < Old.size(); ++Line)
       std::cout << "-" << Old[Line] << "\n";
     for (const std::string &Line : Edit.Added)
-      std::cout << "+" << Line
-                << (Line.empty() || Line.back() != '\n' ? "\n" : "");
+      std::cout << "+" << Line << "\n";
   }
 }
 
@@ -84,16 +83,35 @@
   return std::nullopt;
 }
 
-void noteVersion(const std::string &Path, std::uint64_t Version) {
-  std::ofstream(versionFile(Path)) << Version << "\n";
+/// Notes the version and the text that the file is now based on.
+void noteBase(const std::string &Path, const StoredRules &Base) {
+  std::ofstream(versionFile(Path), std::ios::binary) << Base.Version << "\n"
+                                                     << Base.Text;
 }
 
-ExitStatus showConflict(const std::string &Text, const StoredRules &Current) {
+/// \returns the text of version \p Base, if it was noted.
+std::optional<std::string> baseText(const std::string &Path,
+                                    std::uint64_t Base) {
+  std::ifstream Noted(versionFile(Path), std::ios::binary);
+  std::uint64_t Version = 0;
+  if (!(Noted >> Version) || Version != Base || Noted.get() != '\n')
+    return std::nullopt;
+  return std::string(std::istreambuf_iterator<char>(Noted), {});
+}
+
+ExitStatus showConflict(const std::string &Path, const std::string &Text,
+                        std::uint64_t Base, const StoredRules &Current) {
   std::cerr << "balsamyardctl: " << static_cast<int>(Code::PlatformConflict)
             << " platform-conflict: version " << Current.Version
-            << " is in force and the file is not based on it; nothing was "
-               "changed. From the version in force to the file:\n";
-  printDiff(Current.Text, Text);
+            << " is in force and the file is based on version " << Base
+            << "; nothing was changed. ";
+  if (std::optional<std::string> Since = baseText(Path, Base)) {
+    std::cerr << "Another operator changed:\n";
+    printDiff(*Since, Current.Text);
+  } else {
+    std::cerr << "From the version in force to the file:\n";
+    printDiff(Current.Text, Text);
+  }
   return Conflict;
 }
 
@@ -140,7 +158,7 @@
   }
   if (!(std::ofstream(Given.Out, std::ios::binary) << Current->Text))
     return usage("cannot write " + Given.Out);
-  noteVersion(Given.Out, Current->Version);
+  noteBase(Given.Out, *Current);
   return Success;
 }
 
@@ -156,18 +174,19 @@
   PlatformClient Platform(*Given.Platform, Given.Timeout);
   RulesStore Store(Platform);
   // Without a known base the file may only be the first one.
-  Expected<ApplyResult> Result = Store.apply(*Text, baseOf(Given).value_or(0));
+  const std::uint64_t Base = baseOf(Given).value_or(0);
+  Expected<ApplyResult> Result = Store.apply(*Text, Base);
   if (!Result)
     return report(Result.error());
   return std::visit(
       Overload{[&](const RulesAccepted &Accepted) {
-                 noteVersion(Path, Accepted.Version);
+                 noteBase(Path, {Accepted.Version, *Text});
                  std::cout << "accepted as version " << Accepted.Version
                            << "\n";
                  return Success;
                },
                [&](const RulesConflict &Other) {
-                 return showConflict(*Text, Other.Current);
+                 return showConflict(Path, *Text, Base, Other.Current);
                },
                [&](const RulesUnclear &Lost) {
                  std::cerr << "balsamyardctl: "
--- a/balsamyard/src/Process/RulesStore.cpp
+++ b/balsamyard/src/Process/RulesStore.cpp
@@ -10,6 +10,10 @@
 const std::string HeadName = "shared/rules/head";
 const std::string PartPrefix = "rules-part/";
 
+/// Attempts to get a clear answer. The update names its base, so it takes
+/// effect at most once.
+constexpr int Attempts = 3;
+
 } // namespace
 
 Expected<std::string> RulesStore::assemble(const std::string &Head) {
@@ -66,12 +70,27 @@
   Expected<std::string> Head = this->storeParts(Text);
   if (!Head)
     return tl::unexpected(Head.error());
-  Expected<std::uint64_t> Version =
-      Base == 0 ? this->Platform.create(HeadName, *Head)
-                : this->Platform.update(HeadName, *Head, Base);
-  if (Version)
-    return RulesAccepted{*Version};
-  return this->readBack(Text, Base, Version.error());
+  Error Lost{Code::Ok, ""};
+  for (int Attempt = 0; Attempt < Attempts; ++Attempt) {
+    Expected<std::uint64_t> Version =
+        Base == 0 ? this->Platform.create(HeadName, *Head)
+                  : this->Platform.update(HeadName, *Head, Base);
+    if (Version)
+      return RulesAccepted{*Version};
+    if (Version.error().Value == Code::PlatformConflict &&
+        Lost.Value == Code::Ok) {
+      Expected<StoredRules> Now = this->read();
+      if (!Now)
+        return tl::unexpected(Now.error());
+      return RulesConflict{std::move(*Now)};
+    }
+    // After a lost answer a conflict may be with the own update.
+    if (Lost.Value == Code::Ok)
+      Lost = Version.error();
+    if (Version.error().Value == Code::PlatformConflict)
+      break;
+  }
+  return this->readBack(Text, Base, Lost);
 }
 
 Expected<ApplyResult> RulesStore::readBack(const std::string &Text,
@@ -82,10 +101,11 @@
     return RulesUnclear{Fault.Detail + "; reading back: " + Now.error().Detail};
   if (Now->Version > Base && Now->Text == Text)
     return RulesAccepted{Now->Version};
-  if (Now->Version != Base)
-    return RulesConflict{std::move(*Now)};
-  // The lost update may still be on its way to the platform.
-  return RulesUnclear{Fault.Detail + "; not in force when read back"};
+  // The lost update may still be on its way to the platform, or its rules may
+  // have been in force before another operator replaced them.
+  return RulesUnclear{Fault.Detail + "; version " +
+                      std::to_string(Now->Version) +
+                      " with other rules is in force"};
 }
 
 } // namespace balsamyard
--- a/balsamyard/src/Process/RulesStore.h
+++ b/balsamyard/src/Process/RulesStore.h
@@ -53,8 +53,10 @@
 
   /// \brief Replaces the rules if their version is still \p Base.
   ///
-  /// After an unclear answer the head is read back: if it holds this text, the
-  /// update was accepted, whoever wrote it.
+  /// An update without an answer is sent again, then the head is read back: if
+  /// it holds this text, the update was accepted, whoever wrote it. If it holds
+  /// another one, this text may have been in force before, so the result is
+  /// RulesUnclear.
   Expected<ApplyResult> apply(const std::string &Text, std::uint64_t Base);
 
 private:
--- a/tests/RulesStoreTest.cpp
+++ b/tests/RulesStoreTest.cpp
@@ -72,3 +72,46 @@
     CHECK(Store.read()->Text == First);
   }
 }
+
+// Guards against the claim that nothing was applied, where the rules may have
+// been in force until another operator replaced them.
+TEST_CASE("a lost update that another operator replaced is unclear",
+          "[rules-store]") {
+  standin::PlatformStandIn StandIn;
+  LocalServer Local;
+  StandIn.mount(Local.Server, 16);
+  const Endpoint At = Local.start();
+  LocalServer Front;
+  PlatformClient Direct(At, 2s);
+  bool IsFirst = true;
+  // Passes updates on, but loses the answer to the first update of the head;
+  // before it is sent again, another operator replaces the rules.
+  Front.Server.Put("/objects/(.+)", [&](const httplib::Request &From,
+                                        httplib::Response &To) {
+    const std::string Name = From.matches[1];
+    Expected<std::uint64_t> Done =
+        From.has_header("If-Match")
+            ? Direct.update(Name, From.body,
+                            std::stoull(From.get_header_value("If-Match")))
+            : Direct.create(Name, From.body);
+    To.status = Done ? 200 : 412;
+    if (Done)
+      To.set_header("Version", std::to_string(*Done));
+    if (Name == "shared/rules/head" && Done && std::exchange(IsFirst, false)) {
+      accepted(RulesStore(Direct).apply(Second, *Done));
+      To.status = 503;
+    }
+  });
+  Front.Server.Get("/objects/(.+)", [&](const httplib::Request &From,
+                                        httplib::Response &To) {
+    Expected<PlatformObject> Read = Direct.get(From.matches[1]);
+    REQUIRE(Read);
+    To.set_header("Version", std::to_string(Read->Version));
+    To.set_content(Read->Value, "text/plain");
+  });
+  PlatformClient Client(Front.start(), 2s);
+  Expected<ApplyResult> Result = RulesStore(Client).apply(First, 0);
+  REQUIRE(Result);
+  CHECK(std::holds_alternative<RulesUnclear>(*Result));
+  CHECK(RulesStore(Direct).read()->Text == Second);
+}
