Order the events of a trace by time when it is read

Cause: traces list rule changes and faults before the requests; the replay refused such a file because its times ran backwards. Ruled out: keeping the refusal; lines of several recorders interleave as well. Change: events are sorted by time, equal times as they were read.

--- a/balsamyard/src/Process/Replay.cpp
+++ b/balsamyard/src/Process/Replay.cpp
@@ -335,8 +335,6 @@
     }
     ReplayEvent Event = readEvent(Object, Fault);
     Event.Line = Number;
-    if (Fault.empty() && !Events.empty() && Event.At < Events.back().At)
-      Fault = "\"at_ms\" is before that of the line above";
     if (Fault.empty())
       Events.push_back(std::move(Event));
     else
@@ -348,6 +346,10 @@
     Faults.push_back({0, "the trace is empty"});
   if (!Faults.empty())
     return tl::unexpected(std::move(Faults));
+  std::stable_sort(Events.begin(), Events.end(),
+                   [](const ReplayEvent &Left, const ReplayEvent &Right) {
+                     return Left.At < Right.At;
+                   });
   return Events;
 }
 
