--- a/balsamyard/src/Connection/SlotRunner.cpp
+++ b/balsamyard/src/Connection/SlotRunner.cpp
@@ -86,7 +86,7 @@
       this->dispatch(Later);
     }
   }
-  this->carryOut(std::move(Later));
+  this->carryOut(Later);
 }
 
 void SlotRunner::setShare(SlotShare Share, bool LaneTaken) {
@@ -101,7 +101,7 @@
       this->endQueued(Code::NotOwner, Later);
     this->dispatch(Later);
   }
-  this->carryOut(std::move(Later));
+  this->carryOut(Later);
 }
 
 bool SlotRunner::waitForShare(TimePoint Deadline) {
@@ -124,7 +124,7 @@
     std::lock_guard<std::mutex> Lock(this->Mutex);
     this->apply(Event, Later);
   }
-  this->carryOut(std::move(Later));
+  this->carryOut(Later);
 }
 
 void SlotRunner::expire(TimePoint Now) {
@@ -145,7 +145,7 @@
       Later.Ended.emplace_back(Ref<SlotTask>(&Task, false), Ended);
     }
   }
-  this->carryOut(std::move(Later));
+  this->carryOut(Later);
 }
 
 void SlotRunner::maintain() {
@@ -223,7 +223,7 @@
   this->Queued = 0;
 }
 
-void SlotRunner::carryOut(Deferred Later) {
+void SlotRunner::carryOut(const Deferred &Later) {
   for (const SlotEffect &Effect : Later.Effects)
     this->Observer.OnEffect(this->Key, Effect);
   for (const auto &[Task, Why] : Later.Ended)
@@ -328,7 +328,7 @@
   this->Observer.OnResult(this->Key, Task->route(), resultOf(Decoded.Result),
                           Exchange.Time);
   Decoded.End();
-  this->carryOut(std::move(Later));
+  this->carryOut(Later);
 }
 
 void SlotRunner::putBack(const Ref<SlotTask> &Task, SlotTicket Ticket,
@@ -353,7 +353,7 @@
     if (AllLost)
       this->dispatch(Later);
   }
-  this->carryOut(std::move(Later));
+  this->carryOut(Later);
 }
 
 void SlotRunner::poll() {
@@ -387,7 +387,7 @@
       this->apply(HealthSeen{Facts->State, Facts->Incarnation}, Later);
     this->dispatch(Later);
   }
-  this->carryOut(std::move(Later));
+  this->carryOut(Later);
 }
 
 void SlotRunner::endUnsent(const SlotTask &Task, Code Why) const {
--- a/balsamyard/src/Connection/SlotRunner.h
+++ b/balsamyard/src/Connection/SlotRunner.h
@@ -141,7 +141,7 @@
   void dispatch(Deferred &Later);
   void apply(const SlotEvent &Event, Deferred &Later);
   void endQueued(Code Why, Deferred &Later);
-  void carryOut(Deferred Later);
+  void carryOut(const Deferred &Later);
   void run(const Ref<SlotTask> &Task, SlotTicket Ticket);
   void finish(const Ref<SlotTask> &Task, SlotTicket Ticket,
               const TargetLease &Lease, TargetExchange Exchange);
