Test that late answers do not warm a slot up

Cause: with the epoch check of SlotLimiter switched off all tests passed, so nothing guarded it; lost connections were covered by the generation alone.

Change: requests that were started before a peer said "cold" must not count.

--- a/tests/SlotLimiterTest.cpp
+++ b/tests/SlotLimiterTest.cpp
@@ -210,6 +210,18 @@
     CHECK(World.Limiter.limit() == 2);
   }
 
+  // Guards against answers from before the evidence that warm the slot up.
+  SECTION("and requests that were started before do not warm it up") {
+    std::vector<SlotTicket> Old;
+    for (int Request = 0; Request < 5; ++Request)
+      Old.push_back(World.start());
+    World.apply(PeerSaidCold{});
+    World.Now += 10s;
+    for (const SlotTicket &Ticket : Old)
+      World.answer(Ticket);
+    CHECK(World.Limiter.limit() == 2);
+  }
+
   SECTION("when a lane is taken over") {
     World.apply(ShareChanged{{50, 4}, true});
     CHECK(World.Limiter.limit() == 4);
--- a/tests/TargetClientTest.cpp
+++ b/tests/TargetClientTest.cpp
@@ -52,7 +52,7 @@
   explicit HttpTarget(Handler OnRequest) {
     this->Server.set_tcp_nodelay(true);
     this->Server.set_keep_alive_timeout(1);
-    this->Server.Post("/(search|write)", OnRequest);
+    this->Server.Post("/(search|write)", std::move(OnRequest));
     this->Port = this->Server.bind_to_any_port("127.0.0.1");
     this->Server.Get("/ready", [](const auto &, auto &) {});
     this->Listener = std::thread([this] { this->Server.listen_after_bind(); });
