--- a/balsamyard/src/Request/Query.cpp
+++ b/balsamyard/src/Request/Query.cpp
@@ -153,7 +153,7 @@
   if (Progress.MissingShards == 0) {
     ++this->AnsweredLeaves;
     if (this->HalfTime == Duration(0) &&
-        this->AnsweredLeaves * 2 >= this->Leaves.size())
+        this->AnsweredLeaves >= (this->Leaves.size() + 1) / 2)
       this->HalfTime = Now - this->Started;
     this->settle(Leaf, Now, Effects);
     return;
--- a/tests/QueryTest.cpp
+++ b/tests/QueryTest.cpp
@@ -98,7 +98,7 @@
     return this->items().contains({Leaf, Attempt});
   }
 
-  void answerAllBut(std::set<LeafIndex> Silent) {
+  void answerAllBut(const std::set<LeafIndex> &Silent) {
     for (const auto &[Key, Item] : this->items())
       if (!Silent.contains(Key.first) && Key.second == 0 && !this->Done)
         this->answer(Item);
@@ -434,7 +434,7 @@
     CHECK(Answer.Covered.Weight == Weight);
     CHECK(Answer.Covered.ShardsAnswered == Expected.size());
     CHECK(Answer.Covered.Missing.size() ==
-          Shape.Leaves * Shape.ShardsPerLeaf - Expected.size());
+          std::size_t{Shape.Leaves} * Shape.ShardsPerLeaf - Expected.size());
     for (ShardId Shard : Answer.Covered.Missing)
       CHECK_FALSE(Expected.contains(Shard));
     CHECK(Run.inFlightOfAllSlots() == 0);
