--- a/balsamyard/src/Process/ConfigSpread.h
+++ b/balsamyard/src/Process/ConfigSpread.h
@@ -42,9 +42,9 @@
   unsigned AnnounceRounds = 3;
   std::size_t Watchers = 2;     ///< Nodes per failure domain.
   std::size_t StartAnswers = 3; ///< Peers asked while the platform is down.
-  std::size_t PageBytes = 512 * 1024;
+  std::size_t PageBytes = std::size_t{512} * 1024;
   std::size_t HistoryEdits = 256; ///< Deltas kept per document.
-  std::size_t HistoryBytes = 64 * 1024;
+  std::size_t HistoryBytes = std::size_t{64} * 1024;
 };
 
 /// \brief One shared document as this process has it.
--- a/balsamyard/src/Process/ControlAgent.cpp
+++ b/balsamyard/src/Process/ControlAgent.cpp
@@ -602,7 +602,7 @@
                                           unsigned TriesLeft) {
   Ref<Core> Keep(this);
   this->Peers.call(
-      To, "/v1/notice", Message, NoticeTimeout, [](std::string) {},
+      To, "/v1/notice", Message, NoticeTimeout, [](const std::string &) {},
       [Keep, To, Message, TriesLeft](Code Result, bool) {
         if (Result == Code::Ok || TriesLeft <= 1)
           return;
--- a/balsamyard/src/Process/Settings.cpp
+++ b/balsamyard/src/Process/Settings.cpp
@@ -32,7 +32,8 @@
   };
 
   void rejectUnknown(const std::vector<Section> &Known) {
-    for (const auto &[Key, Node] : this->Root) {
+    for (const auto &[RootKey, Node] : this->Root) {
+      const toml::key &Key = RootKey;
       auto Found =
           std::find_if(Known.begin(), Known.end(), [&](const Section &Item) {
             return Item.Name == Key.str();
