--- a/apps/balsamyardctl/ReportCommands.cpp
+++ b/apps/balsamyardctl/ReportCommands.cpp
@@ -33,7 +33,7 @@
     if (Key != "time" && Key != "level" && Key != "process" && Key != "node" &&
         Key != "domain" && Key != "request" && Key != "outcome" &&
         !Value.empty())
-      Text += ", " + Key + " " + Value;
+      Text.append(", ").append(Key).append(" ").append(Value);
   return Text + ".";
 }
 
--- a/balsamyard/src/Process/ControlAgent.cpp
+++ b/balsamyard/src/Process/ControlAgent.cpp
@@ -427,8 +427,7 @@
       return PlatformFailed{};
     std::string Text = std::move(Object->Value);
     if (IsRules) {
-      Expected<std::string> Whole =
-          RulesStore(this->Platform).assemble(Text);
+      Expected<std::string> Whole = RulesStore(this->Platform).assemble(Text);
       if (!Whole) {
         logEvent(LogLevel::Error, "document-refused",
                  {{"document", Name},
--- a/balsamyard/src/Process/PlatformClient.cpp
+++ b/balsamyard/src/Process/PlatformClient.cpp
@@ -12,8 +12,6 @@
 namespace balsamyard {
 
 using internal::Json;
-using internal::JsonFaults;
-using internal::JsonObject;
 
 namespace {
 
--- a/balsamyard/src/Process/RulesStore.h
+++ b/balsamyard/src/Process/RulesStore.h
@@ -10,7 +10,7 @@
 
 /// \brief Longest part of the rules text in one platform object, in bytes. The
 /// platform holds values up to 1 MB.
-inline constexpr std::size_t MaxRulesPartBytes = 900 * 1000;
+inline constexpr std::size_t MaxRulesPartBytes = 900'000;
 
 /// \brief The rules text in force and the version of its head object. Version 0
 /// says that there is none yet.
