--- a/apps/balsamyard-entry/CallerRequest.cpp
+++ b/apps/balsamyard-entry/CallerRequest.cpp
@@ -54,20 +54,23 @@
 
   tl::expected<CallerRequest, CallerAnswer> run(const RequestId &NewId) {
     this->Checked.Kind = this->Raw.Kind;
+    // Until the headers are read, a write counts as one that may not be
+    // repeated.
+    this->Checked.Repeatable = this->Raw.Kind == RequestKind::Search;
     this->Checked.Service.Text = this->Raw.Service;
     this->Checked.Route.Text = this->Raw.Route;
     this->Checked.Arrived = this->Raw.Arrived;
+    // The id and repeatability come first, because they decide which outcome a
+    // refusal may state.
+    if (this->Raw.RequestId && isValidId(*this->Raw.RequestId))
+      this->Checked.Id.Text = *this->Raw.RequestId;
     if (this->Raw.RepeatedHeader)
       return this->refusal(Code::BadHeader, "a header was sent twice");
-    // Repeatability and the id come first, because they decide which outcome a
-    // refusal may state.
     if (auto Fault = this->checkRepeatable())
       return this->refusal(Code::BadHeader, *Fault);
     if (!this->Raw.RequestId && this->Checked.Repeatable)
       this->Checked.Id = NewId;
-    else if (this->Raw.RequestId && isValidId(*this->Raw.RequestId))
-      this->Checked.Id.Text = *this->Raw.RequestId;
-    else
+    if (this->Checked.Id.empty())
       return this->refusal(
           Code::BadRequestId,
           this->Raw.RequestId
@@ -103,14 +106,15 @@
 
   std::optional<std::string> checkRepeatable() {
     const bool IsSearch = this->Raw.Kind == RequestKind::Search;
+    if (this->Raw.Repeatable && *this->Raw.Repeatable != "yes" &&
+        *this->Raw.Repeatable != "no")
+      return "Repeatable has to be yes or no";
     this->Checked.Repeatable =
         IsSearch || this->View.Configuration
                         .writeFor(this->Checked.Service, this->Checked.Route)
                         .Repeatable;
     if (!this->Raw.Repeatable)
       return std::nullopt;
-    if (*this->Raw.Repeatable != "yes" && *this->Raw.Repeatable != "no")
-      return "Repeatable has to be yes or no";
     if (IsSearch && *this->Raw.Repeatable == "no")
       return "a search has to be repeatable; send it as a write";
     this->Checked.Repeatable = *this->Raw.Repeatable == "yes";
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -14,7 +14,7 @@
   exit 1
 fi
 if [ "$WHAT" != format ]; then
-  # A file is checked again only when its preprocessed text or .clang-tidy changed.
+  # A file is checked again only when it, a header or .clang-tidy changed.
   CACHE=${XDG_CACHE_HOME:-$HOME/.cache}/balsamyard-tidy
   mkdir -p "$CACHE"
   export BUILD CACHE
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -16,4 +16,5 @@
   done < <(sed -n 's/^test: //p' KNOWN-RED.txt)
 fi
 "$BUILD/balsamyard-tests" "${EXCLUDED[@]}"
+bash tests/end_to_end.sh "$PWD/$BUILD/bin"
 ctest --test-dir "$BUILD" --output-on-failure -E '^balsamyard-tests$' --no-tests=ignore
--- a/tests/end_to_end.sh
+++ b/tests/end_to_end.sh
@@ -116,6 +116,8 @@
 expect "unknown route" '"code":2006' "$(call "$FIRST" /v1/search/fill-00/none '{}')"
 expect "unknown path" '"code":2008' "$(call "$FIRST" /v2/search '{}')"
 expect "bad header" '"code":2004' "$(call "$FIRST" /v1/search/fill-00/status '{}' 'Deadline-Ms: soon')"
+expect "a bad header does not hide that an earlier copy ran" '"code":2004.*"outcome":"unknown"' \
+  "$(call "$FIRST" /v1/write/manifests-00/file '{"record":"truck-7"}' "Request-Id: $WRITE_ID" 'Repeatable: maybe')"
 expect "expired deadline" '"code":200[45]' "$(call "$FIRST" /v1/search/fill-00/status '{}' 'Deadline-Ms: 0')"
 expect "write without an id" '"code":2007' "$(call "$FIRST" /v1/write/manifests-00/file '{"record":"a"}')"
 head -c 1200000 /dev/zero | tr '\0' 'x' >"$FOLDER/large.txt"
