--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -13,7 +13,7 @@
 cmake --build "$BUILD" >/dev/null
 BIN=$PWD/$BUILD/bin
 OUT=$PWD/${OUT:-out/demo}
-TRACE_SECONDS=25
+TRACE_SECONDS=22
 RATE=150
 source scripts/deployment.sh
 
@@ -32,7 +32,7 @@
   local KIND=$1 FOLDER=$OUT/$1 ADDRESS FLAGS=() REPLAY STATUS=0
   rm -rf "$FOLDER"
   "$BIN/standin-deployment" --kind "$KIND" --out "$FOLDER" --rate "$RATE" \
-    --seconds "$TRACE_SECONDS" --move-in 40
+    --seconds "$TRACE_SECONDS" --move-in 32
   source "$FOLDER/addresses.sh"
   echo "$KIND: starting $(wc -l <"$FOLDER/processes.txt") processes"
   start_processes "$FOLDER"
