--- a/scripts/deployment.sh
+++ b/scripts/deployment.sh
@@ -87,7 +87,7 @@
   shift
   while [ "$CALM" -lt 6 ]; do
     NOW=$(for HOLDER in "$@"; do
-      http GET "$HOLDER" /v1/status | grep -o '"state": *"owned"' | wc -l
+      { http GET "$HOLDER" /v1/status | grep -o '"state": *"owned"' || true; } | wc -l
     done | tr '\n' ' ')
     if [ "$NOW" = "$BEFORE" ] && [ "$((${NOW// /+}0))" = 64 ]; then
       CALM=$((CALM + 1))
