Share the visitor of function objects

Cause: Overload stood in five source files, word for word. Change: balsamyard/Core has it; no behaviour changes. Measured: tests/end_to_end.sh 33 passed, 0 failed; formatter, and linter on the five files, without findings. The unit tests were not run again.

--- a/apps/balsamyardctl/RulesCommands.cpp
+++ b/apps/balsamyardctl/RulesCommands.cpp
@@ -1,5 +1,6 @@
 #include "Commands.h"
 
+#include "balsamyard/src/Core/Overload.h"
 #include "balsamyard/src/Process/RulesStore.h"
 #include "balsamyard/src/Version/Rules.h"
 #include "balsamyard/src/Version/RulesDelta.h"
@@ -12,11 +13,6 @@
 
 namespace {
 
-template <typename... Handlers> struct Overload : Handlers... {
-  using Handlers::operator()...;
-};
-template <typename... Handlers> Overload(Handlers...) -> Overload<Handlers...>;
-
 ExitStatus usage(const std::string &Detail) {
   std::cerr << "balsamyardctl: " << Detail << "; see --help\n";
   return BadUsage;
--- a/balsamyard/src/Process/ConfigSpread.cpp
+++ b/balsamyard/src/Process/ConfigSpread.cpp
@@ -1,4 +1,5 @@
 #include "balsamyard/src/Process/ConfigSpread.h"
+#include "balsamyard/src/Core/Overload.h"
 
 #include "balsamyard/src/Version/RulesDelta.h"
 
@@ -9,11 +10,6 @@
 
 namespace {
 
-template <typename... Handlers> struct Overload : Handlers... {
-  using Handlers::operator()...;
-};
-template <typename... Handlers> Overload(Handlers...) -> Overload<Handlers...>;
-
 std::size_t bytesOf(const DocumentDelta &Delta) {
   std::size_t Sum = Delta.Name.size() + Delta.Digest.size() + 32;
   for (const LineEdit &Edit : Delta.Edits) {
--- a/balsamyard/src/Process/ControlAgent.cpp
+++ b/balsamyard/src/Process/ControlAgent.cpp
@@ -1,4 +1,5 @@
 #include "balsamyard/src/Process/ControlAgent.h"
+#include "balsamyard/src/Core/Overload.h"
 
 #include "balsamyard/src/Connection/PeerClient.h"
 #include "balsamyard/src/Process/Codec.h"
@@ -51,11 +52,6 @@
 
 const std::string SharedPrefix = "shared/";
 
-template <typename... Handlers> struct Overload : Handlers... {
-  using Handlers::operator()...;
-};
-template <typename... Handlers> Overload(Handlers...) -> Overload<Handlers...>;
-
 asio::ip::udp::endpoint toUdp(const Endpoint &At) {
   return {asio::ip::make_address(At.Address), At.Port};
 }
--- a/balsamyard/src/Process/Lifecycle.cpp
+++ b/balsamyard/src/Process/Lifecycle.cpp
@@ -1,4 +1,5 @@
 #include "balsamyard/src/Process/Lifecycle.h"
+#include "balsamyard/src/Core/Overload.h"
 
 #include <csignal>
 #include <ctime>
@@ -24,11 +25,6 @@
           static_cast<long>(std::chrono::nanoseconds(Value - Seconds).count())};
 }
 
-template <typename... Handlers> struct Overload : Handlers... {
-  using Handlers::operator()...;
-};
-template <typename... Handlers> Overload(Handlers...) -> Overload<Handlers...>;
-
 } // namespace
 
 std::vector<LifecycleEffect> Lifecycle::handle(const LifecycleEvent &Event,
--- a/balsamyard/src/Process/Membership.cpp
+++ b/balsamyard/src/Process/Membership.cpp
@@ -1,4 +1,5 @@
 #include "balsamyard/src/Process/Membership.h"
+#include "balsamyard/src/Core/Overload.h"
 
 #include <algorithm>
 #include <boost/random/taus88.hpp>
@@ -9,11 +10,6 @@
 
 namespace {
 
-template <typename... Handlers> struct Overload : Handlers... {
-  using Handlers::operator()...;
-};
-template <typename... Handlers> Overload(Handlers...) -> Overload<Handlers...>;
-
 bool isPresent(MemberState State) {
   return State == MemberState::Alive || State == MemberState::Suspect;
 }
