--- /dev/null
+++ b/apps/balsamyard-node/main.cpp
@@ -0,0 +1,83 @@
+#include "balsamyard/src/Core/Log.h"
+#include "balsamyard/src/Process/Node.h"
+#include "platform/Platform.h"
+
+#include <csignal>
+#include <cstdlib>
+#include <cxxopts.hpp>
+#include <iostream>
+
+using namespace balsamyard;
+
+namespace {
+
+/// Exit statuses, as in sysexits.h.
+constexpr int ExitUsage = 64;
+constexpr int ExitSettings = 78;
+constexpr int ExitFailure = 70;
+
+int serve(const std::string &Path, bool CheckOnly) {
+  const auto Read = [Path] { return platform::readSettings(Path); };
+  const Expected<NodeSettings> Settings = Read();
+  if (!Settings) {
+    std::cerr << "balsamyard-node: "
+              << static_cast<int>(Settings.error().Value) << " "
+              << Settings.error().Detail << "\n";
+    return ExitSettings;
+  }
+  if (CheckOnly) {
+    std::cout << "settings are valid\n";
+    return 0;
+  }
+  openLog("node", Settings->Node, Settings->Domain, "");
+  logEvent(LogLevel::Info, "node-starting",
+           {{"release", std::string(BALSAMYARD_VERSION)},
+            {"callers", toText(Settings->Callers)},
+            {"store", toText(Settings->Store)}});
+  Node Process(*Settings, platform::makeAdapter(), Read, Path);
+  Process.run();
+  return 0;
+}
+
+} // namespace
+
+int main(int Count, char **Arguments) {
+  // A write to a connection that the peer has closed is an error, not a signal.
+  std::signal(SIGPIPE, SIG_IGN);
+  cxxopts::Options Options("balsamyard-node",
+                           "Serves callers on the users' platform.");
+  Options.add_options()("settings", "settings file (YAML); default: $" +
+                                        std::string(platform::SettingsVariable),
+                        cxxopts::value<std::string>())(
+      "check-settings", "check the settings and exit")("version",
+                                                       "print the version")(
+      "help", "print this text");
+  try {
+    const auto Given = Options.parse(Count, Arguments);
+    if (Given.count("help") != 0) {
+      std::cout << Options.help() << "\n";
+      return 0;
+    }
+    if (Given.count("version") != 0) {
+      std::cout << BALSAMYARD_VERSION << "\n";
+      return 0;
+    }
+    const char *Variable = std::getenv(platform::SettingsVariable);
+    std::string Path = Variable == nullptr ? "" : Variable;
+    if (Given.count("settings") != 0)
+      Path = Given["settings"].as<std::string>();
+    if (Path.empty()) {
+      std::cerr << "balsamyard-node: no settings file; set "
+                << platform::SettingsVariable << " or --settings\n";
+      return ExitUsage;
+    }
+    return serve(Path, Given.count("check-settings") != 0);
+  } catch (const cxxopts::exceptions::exception &Fault) {
+    std::cerr << "balsamyard-node: " << Fault.what() << "\n";
+    return ExitUsage;
+  } catch (const std::exception &Fault) {
+    logEvent(LogLevel::Error, "node-failed", {{"detail", std::string(Fault.what())}});
+    std::cerr << "balsamyard-node: " << Fault.what() << "\n";
+    return ExitFailure;
+  }
+}
--- /dev/null
+++ b/balsamyard/src/Connection/HttpLink.cpp
@@ -0,0 +1,183 @@
+#include "balsamyard/src/Connection/HttpLink.h"
+
+#include <asio/write.hpp>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <utility>
+
+namespace balsamyard {
+
+namespace {
+
+void setOption(int Socket, int Level, int Option, int Value) {
+  // A refused option leaves the default, which is slower to notice a lost peer
+  // but correct, so the result is not needed.
+  ::setsockopt(Socket, Level, Option, &Value, sizeof(Value));
+}
+
+} // namespace
+
+void tuneSocket(asio::ip::tcp::socket &Socket) {
+  using std::chrono::duration_cast;
+  const int Handle = Socket.native_handle();
+  setOption(Handle, IPPROTO_TCP, TCP_NODELAY, 1);
+  setOption(Handle, SOL_SOCKET, SO_KEEPALIVE, 1);
+  const auto Idle = static_cast<int>(
+      duration_cast<std::chrono::seconds>(HttpLink::KeepAliveIdle).count());
+  setOption(Handle, IPPROTO_TCP, TCP_KEEPIDLE, Idle);
+  setOption(Handle, IPPROTO_TCP, TCP_KEEPINTVL, 1);
+  setOption(Handle, IPPROTO_TCP, TCP_KEEPCNT, HttpLink::KeepAliveProbes);
+  setOption(Handle, IPPROTO_TCP, TCP_USER_TIMEOUT,
+            static_cast<int>(duration_cast<std::chrono::milliseconds>(
+                                 HttpLink::AcknowledgeTimeout)
+                                 .count()));
+}
+
+HttpLink::HttpLink(asio::io_context &Context, const HttpLimits &Limits)
+    : Socket(Context), OpenTimer(Context), Parser(Limits) {}
+
+void HttpLink::open(const Endpoint &Peer, Duration Timeout, OpenHandler Done) {
+  asio::error_code Problem;
+  const auto Address = asio::ip::make_address(Peer.Address, Problem);
+  this->Current = State::Opening;
+  this->Opened = std::move(Done);
+  Ref<HttpLink> Self(this);
+  auto Finish = [Self](const asio::error_code &Result) {
+    if (Self->Current != State::Opening)
+      return;
+    Self->OpenTimer.cancel();
+    OpenHandler Handler = std::exchange(Self->Opened, nullptr);
+    if (Result) {
+      Self->shut();
+      Handler(fail(Code::PeerUnreachable, Result.message()));
+      return;
+    }
+    tuneSocket(Self->Socket);
+    Self->Current = State::Idle;
+    Self->IdleSince = steadyNow();
+    Self->startReading();
+    Handler({});
+  };
+  if (Problem) {
+    asio::post(this->Socket.get_executor(),
+               [Finish, Problem] { Finish(Problem); });
+    return;
+  }
+  this->OpenTimer.expires_after(Timeout);
+  this->OpenTimer.async_wait([Finish](const asio::error_code &Cancelled) {
+    if (!Cancelled)
+      Finish(asio::error::timed_out);
+  });
+  this->Socket.async_connect({Address, Peer.Port}, Finish);
+}
+
+void HttpLink::send(std::string Message, bool BodyExpected,
+                    AnswerHandler Done) {
+  this->Current = State::Busy;
+  this->Outgoing = std::move(Message);
+  this->Answered = std::move(Done);
+  this->Parser.begin(BodyExpected);
+  this->Writing = true;
+  Ref<HttpLink> Self(this);
+  asio::async_write(this->Socket, asio::buffer(this->Outgoing),
+                    [Self](const asio::error_code &Problem, std::size_t) {
+                      Self->Writing = false;
+                      // The pending read reports what happened; an answer may
+                      // have arrived before the peer closed.
+                      if (Problem && Self->Current == State::Busy)
+                        Self->onReadError(false);
+                    });
+}
+
+void HttpLink::startReading() {
+  Ref<HttpLink> Self(this);
+  this->Socket.async_read_some(
+      asio::buffer(this->Buffer),
+      [Self](const asio::error_code &Problem, std::size_t Length) {
+        if (Self->Current == State::Closed)
+          return;
+        if (Problem)
+          Self->onReadError(Problem == asio::error::eof);
+        else
+          Self->onRead(Length);
+      });
+}
+
+void HttpLink::onRead(std::size_t Length) {
+  if (this->Current == State::Idle) {
+    // Nobody asked for these bytes.
+    this->onReadError(false);
+    return;
+  }
+  const HttpStep Step = this->Parser.read({this->Buffer.data(), Length});
+  if (std::holds_alternative<HttpIncomplete>(Step.Progress)) {
+    this->startReading();
+    return;
+  }
+  if (const auto *Fault = std::get_if<HttpMalformed>(&Step.Progress)) {
+    this->finish(fail(Code::TargetMalformed, std::string(Fault->Reason)),
+                 false);
+    return;
+  }
+  HttpResponse Response = this->Parser.take();
+  // Bytes after a whole answer belong to no request, and the rest of a request
+  // that was answered early must not be taken for the next one.
+  const bool KeepOpen =
+      Response.KeepAlive && Step.Consumed == Length && !this->Writing;
+  this->finish(std::move(Response), KeepOpen);
+}
+
+void HttpLink::onReadError(bool Orderly) {
+  if (this->Current == State::Idle) {
+    const CloseHandler Handler = std::exchange(this->IdleClose, nullptr);
+    this->shut();
+    if (Handler)
+      Handler();
+    return;
+  }
+  if (Orderly && this->Parser.started() &&
+      std::holds_alternative<HttpComplete>(this->Parser.end())) {
+    this->finish(this->Parser.take(), false);
+    return;
+  }
+  this->finish(fail(Code::PeerUnreachable, "the connection ended"), false);
+}
+
+void HttpLink::finish(Expected<HttpResponse> Result, bool KeepOpen) {
+  AnswerHandler Handler = std::exchange(this->Answered, nullptr);
+  if (KeepOpen) {
+    this->Current = State::Idle;
+    this->IdleSince = steadyNow();
+    this->startReading();
+  } else {
+    this->shut();
+  }
+  Handler(std::move(Result));
+}
+
+bool HttpLink::isReady() {
+  if (this->Current != State::Idle)
+    return false;
+  asio::error_code Problem;
+  return this->Socket.available(Problem) == 0 && !Problem;
+}
+
+void HttpLink::shut() {
+  this->Current = State::Closed;
+  // The handler may own the object that owns this one.
+  this->IdleClose = nullptr;
+  asio::error_code Ignored;
+  this->OpenTimer.cancel();
+  // The peer may be gone already; the socket is released either way.
+  this->Socket.close(Ignored);
+}
+
+void HttpLink::close() {
+  this->Opened = nullptr;
+  this->Answered = nullptr;
+  if (this->Current != State::Closed)
+    this->shut();
+}
+
+} // namespace balsamyard
--- /dev/null
+++ b/balsamyard/src/Connection/HttpLink.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include "balsamyard/src/Connection/HttpParser.h"
+#include "balsamyard/src/Core/Error.h"
+#include "balsamyard/src/Core/Names.h"
+#include "balsamyard/src/Core/RefCounted.h"
+#include "balsamyard/src/Core/Time.h"
+
+#include <array>
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
+#include <functional>
+#include <string>
+
+namespace balsamyard {
+
+/// \brief An outgoing HTTP/1.1 connection with one request at a time.
+///
+/// It belongs to one io_context thread. While it is idle it keeps reading, so
+/// that an orderly close and bytes that nobody asked for are noticed at once;
+/// both end the connection.
+class HttpLink : public RefCounted<HttpLink> {
+public:
+  using OpenHandler = std::function<void(Expected<void>)>;
+  using AnswerHandler = std::function<void(Expected<HttpResponse>)>;
+  using CloseHandler = std::function<void()>;
+
+  /// \brief A peer that vanished is noticed after this time without an
+  /// acknowledgement, instead of after the retransmissions of many minutes.
+  static constexpr Duration AcknowledgeTimeout = std::chrono::milliseconds(2500);
+
+  /// \brief Probes of an idle connection; their sum stays below
+  /// AcknowledgeTimeout.
+  static constexpr Duration KeepAliveIdle = std::chrono::seconds(1);
+  static constexpr int KeepAliveProbes = 2;
+
+  HttpLink(asio::io_context &Context, const HttpLimits &Limits);
+
+  /// \brief Connects. \p Done is called once.
+  void open(const Endpoint &Peer, Duration Timeout, OpenHandler Done);
+
+  /// \brief Sends a request on an idle open connection. \p Done is called
+  /// once, unless close() is called first.
+  void send(std::string Message, bool BodyExpected, AnswerHandler Done);
+
+  /// \brief Is called when an idle connection ended, not after close().
+  void onIdleClose(CloseHandler Handler) { this->IdleClose = std::move(Handler); }
+
+  /// \brief Closes the connection; no handler is called any more.
+  void close();
+
+  /// \returns whether a request may be sent: the connection is open and idle,
+  /// and no byte waits that nobody asked for.
+  bool isReady();
+
+  bool isOpen() const { return this->Current == State::Idle || this->Current == State::Busy; }
+
+  /// \returns since when the connection is idle.
+  TimePoint idleSince() const { return this->IdleSince; }
+
+private:
+  enum class State { Closed, Opening, Idle, Busy };
+
+  void startReading();
+  void onRead(std::size_t Length);
+  void onReadError(bool Orderly);
+  void finish(Expected<HttpResponse> Result, bool KeepOpen);
+  void shut();
+
+  asio::ip::tcp::socket Socket;
+  asio::steady_timer OpenTimer;
+  ResponseParser Parser;
+  std::array<char, 8192> Buffer;
+  std::string Outgoing;
+  State Current = State::Closed;
+  bool Writing = false;
+  TimePoint IdleSince{};
+  OpenHandler Opened;
+  AnswerHandler Answered;
+  CloseHandler IdleClose;
+};
+
+/// \brief Switches off the delay of small writes and bounds how long a vanished
+/// peer goes unnoticed.
+void tuneSocket(asio::ip::tcp::socket &Socket);
+
+} // namespace balsamyard
--- /dev/null
+++ b/balsamyard/src/Connection/HttpParser.cpp
@@ -0,0 +1,277 @@
+#include "balsamyard/src/Connection/HttpParser.h"
+
+#include <algorithm>
+#include <climits>
+#include <http_parser.h>
+#include <utility>
+
+namespace balsamyard {
+
+namespace {
+
+/// What both directions collect from the callbacks of http-parser.
+struct Collector {
+  http_parser Parser{};
+  HttpLimits Limits;
+  std::string Start; ///< The target of a request.
+  HttpFields Fields;
+  std::string Body;
+  std::size_t HeaderBytes = 0;
+  bool LastWasValue = true;
+  bool Started = false;
+  bool HeadersWhole = false;
+  bool ExpectContinue = false;
+  bool Whole = false;
+  bool InTrailer = false;
+  bool BodyExpected = true;
+  bool KeepAlive = true;
+  HttpMalformed Fault{};
+
+  void reset(http_parser_type Type) {
+    http_parser_init(&this->Parser, Type);
+    this->Parser.data = this;
+    this->Start.clear();
+    this->Fields = {};
+    this->Body.clear();
+    this->HeaderBytes = 0;
+    this->LastWasValue = true;
+    this->Started = false;
+    this->HeadersWhole = false;
+    this->ExpectContinue = false;
+    this->Whole = false;
+    this->InTrailer = false;
+    this->Fault = {};
+  }
+
+  int fault(int Status, std::string_view Reason) {
+    this->Fault = {Status, Reason};
+    return 1;
+  }
+
+  int addHeaderBytes(std::size_t Count) {
+    this->HeaderBytes += Count;
+    if (this->HeaderBytes > this->Limits.HeaderBytes)
+      return this->fault(431, "the header section is too large");
+    return 0;
+  }
+};
+
+Collector &collector(http_parser *Parser) {
+  return *static_cast<Collector *>(Parser->data);
+}
+
+bool isToken(std::string_view Text) {
+  constexpr std::string_view Marks = "!#$%&'*+-.^_`|~";
+  return std::all_of(Text.begin(), Text.end(), [&](char C) {
+    return (C >= '0' && C <= '9') || (C >= 'a' && C <= 'z') ||
+           (C >= 'A' && C <= 'Z') || Marks.find(C) != std::string_view::npos;
+  });
+}
+
+bool isFieldText(std::string_view Text) {
+  return std::all_of(Text.begin(), Text.end(), [](char C) {
+    const auto Byte = static_cast<unsigned char>(C);
+    return Byte == '\t' || (Byte >= 0x20 && Byte != 0x7f);
+  });
+}
+
+int onMessageBegin(http_parser *Parser) {
+  collector(Parser).Started = true;
+  return 0;
+}
+
+int onUrl(http_parser *Parser, const char *At, std::size_t Length) {
+  Collector &Self = collector(Parser);
+  Self.Start.append(At, Length);
+  return Self.addHeaderBytes(Length);
+}
+
+int onHeaderField(http_parser *Parser, const char *At, std::size_t Length) {
+  Collector &Self = collector(Parser);
+  // Trailer fields are read and dropped: nothing here forwards trailers.
+  if (!Self.InTrailer) {
+    if (Self.LastWasValue)
+      Self.Fields.add({}, {});
+    Self.LastWasValue = false;
+    Self.Fields.last().Name.append(At, Length);
+  }
+  // 4 for the separator and the line end.
+  return Self.addHeaderBytes(Length + 4);
+}
+
+int onHeaderValue(http_parser *Parser, const char *At, std::size_t Length) {
+  Collector &Self = collector(Parser);
+  if (!Self.InTrailer) {
+    Self.LastWasValue = true;
+    Self.Fields.last().Value.append(At, Length);
+  }
+  return Self.addHeaderBytes(Length);
+}
+
+int onHeadersComplete(http_parser *Parser) {
+  Collector &Self = collector(Parser);
+  Self.HeadersWhole = true;
+  Self.InTrailer = true;
+  Self.KeepAlive = http_should_keep_alive(Parser) != 0;
+  for (const HttpField &Field : Self.Fields)
+    if (Field.Name.empty() || !isToken(Field.Name) ||
+        !isFieldText(Field.Value)) {
+      Self.fault(400, "a header field has forbidden characters");
+      return -1;
+    }
+  if (Self.Fields.count("content-length") > 1 ||
+      (Self.Fields.find("content-length") != nullptr &&
+       Self.Fields.find("transfer-encoding") != nullptr)) {
+    Self.fault(400, "the length of the body is ambiguous");
+    return -1;
+  }
+  if (Parser->content_length != ULLONG_MAX &&
+      Parser->content_length > Self.Limits.BodyBytes) {
+    Self.fault(413, "the body is too large");
+    return -1;
+  }
+  Self.ExpectContinue = Self.Fields.lists("expect", "100-continue");
+  return Self.BodyExpected ? 0 : 1;
+}
+
+int onBody(http_parser *Parser, const char *At, std::size_t Length) {
+  Collector &Self = collector(Parser);
+  if (Self.Body.size() + Length > Self.Limits.BodyBytes)
+    return Self.fault(413, "the body is too large");
+  Self.Body.append(At, Length);
+  return 0;
+}
+
+int onMessageComplete(http_parser *Parser) {
+  collector(Parser).Whole = true;
+  // Stops the parser, so that bytes of the next message stay unread.
+  http_parser_pause(Parser, 1);
+  return 0;
+}
+
+const http_parser_settings &callbacks() {
+  static const http_parser_settings Settings = [] {
+    http_parser_settings Result;
+    http_parser_settings_init(&Result);
+    Result.on_message_begin = onMessageBegin;
+    Result.on_url = onUrl;
+    Result.on_header_field = onHeaderField;
+    Result.on_header_value = onHeaderValue;
+    Result.on_headers_complete = onHeadersComplete;
+    Result.on_body = onBody;
+    Result.on_message_complete = onMessageComplete;
+    return Result;
+  }();
+  return Settings;
+}
+
+HttpStep run(Collector &Self, std::string_view Bytes) {
+  if (Self.Whole)
+    return {0, HttpComplete{}};
+  const std::size_t Used = http_parser_execute(&Self.Parser, &callbacks(),
+                                               Bytes.data(), Bytes.size());
+  const auto Problem =
+      static_cast<http_errno>(HTTP_PARSER_ERRNO(&Self.Parser));
+  if (Self.Whole && (Problem == HPE_PAUSED || Problem == HPE_OK))
+    return {Used, HttpComplete{}};
+  if (!Self.Fault.Reason.empty())
+    return {Used, Self.Fault};
+  if (Problem == HPE_HEADER_OVERFLOW)
+    return {Used, HttpMalformed{431, "the header section is too large"}};
+  if (Problem != HPE_OK)
+    return {Used, HttpMalformed{400, http_errno_description(Problem)}};
+  if (Self.Parser.upgrade != 0)
+    return {Used, HttpMalformed{400, "protocol upgrades are not supported"}};
+  return {Used, HttpIncomplete{}};
+}
+
+} // namespace
+
+struct RequestParser::Impl : Collector {};
+
+RequestParser::RequestParser() : Implementation(std::make_unique<Impl>()) {
+  this->Implementation->reset(HTTP_REQUEST);
+}
+
+RequestParser::~RequestParser() = default;
+
+void RequestParser::limit(const HttpLimits &Limits) {
+  this->Implementation->Limits = Limits;
+}
+
+HttpStep RequestParser::read(std::string_view Bytes) {
+  return run(*this->Implementation, Bytes);
+}
+
+bool RequestParser::started() const { return this->Implementation->Started; }
+
+bool RequestParser::takeExpectContinue() {
+  return std::exchange(this->Implementation->ExpectContinue, false) &&
+         !this->Implementation->Whole;
+}
+
+HttpRequest RequestParser::take() {
+  Collector &Self = *this->Implementation;
+  HttpRequest Result;
+  Result.Method =
+      http_method_str(static_cast<http_method>(Self.Parser.method));
+  Result.Target = std::move(Self.Start);
+  Result.Fields = std::move(Self.Fields);
+  Result.Body = std::move(Self.Body);
+  Result.KeepAlive = Self.KeepAlive;
+  Self.reset(HTTP_REQUEST);
+  return Result;
+}
+
+struct ResponseParser::Impl : Collector {};
+
+ResponseParser::ResponseParser(const HttpLimits &Limits)
+    : Implementation(std::make_unique<Impl>()) {
+  this->Implementation->Limits = Limits;
+  this->Implementation->reset(HTTP_RESPONSE);
+}
+
+ResponseParser::~ResponseParser() = default;
+
+void ResponseParser::begin(bool BodyExpected) {
+  this->Implementation->reset(HTTP_RESPONSE);
+  this->Implementation->BodyExpected = BodyExpected;
+}
+
+HttpStep ResponseParser::read(std::string_view Bytes) {
+  Collector &Self = *this->Implementation;
+  std::size_t Before = 0;
+  while (true) {
+    HttpStep Step = run(Self, Bytes.substr(Before));
+    Step.Consumed += Before;
+    // An interim response (1xx) precedes the final one.
+    if (!std::holds_alternative<HttpComplete>(Step.Progress) ||
+        Self.Parser.status_code / 100 != 1)
+      return Step;
+    Before = Step.Consumed;
+    Self.reset(HTTP_RESPONSE);
+  }
+}
+
+HttpProgress ResponseParser::end() {
+  Collector &Self = *this->Implementation;
+  if (!Self.Whole && Self.HeadersWhole)
+    run(Self, {});
+  if (Self.Whole)
+    return HttpComplete{};
+  return HttpMalformed{502, "the connection ended within a response"};
+}
+
+bool ResponseParser::started() const { return this->Implementation->Started; }
+
+HttpResponse ResponseParser::take() {
+  Collector &Self = *this->Implementation;
+  HttpResponse Result;
+  Result.Status = Self.Parser.status_code;
+  Result.Fields = std::move(Self.Fields);
+  Result.Body = std::move(Self.Body);
+  Result.KeepAlive = Self.KeepAlive;
+  return Result;
+}
+
+} // namespace balsamyard
--- a/balsamyard/src/Connection/SlotStats.cpp
+++ b/balsamyard/src/Connection/SlotStats.cpp
@@ -10,12 +10,6 @@
 /// Weight of a new observation in a moving average, as a divisor.
 constexpr std::int64_t AverageDivisor = 8;
 
-constexpr double LogScale = 4294967296.0; // 2^32
-
-/// Relative step of LatencyQuantile: at the 95th percentile one slow answer
-/// raises the estimate by 7% and one fast answer lowers it by 0.4%.
-constexpr double QuantileStep = 0.1;
-
 std::int64_t toMicros(TimePoint At) { return At.time_since_epoch().count(); }
 
 } // namespace
@@ -75,27 +69,6 @@
   return toMicros(Now) < this->AvoidUntilMicros.load(std::memory_order_relaxed);
 }
 
-LatencyQuantile::LatencyQuantile(double Quantile, Duration First)
-    : StepUp(static_cast<std::int64_t>(QuantileStep * Quantile * LogScale)),
-      StepDown(
-          static_cast<std::int64_t>(QuantileStep * (1 - Quantile) * LogScale)),
-      LogValue(static_cast<std::int64_t>(
-          std::log2(static_cast<double>(First.count())) * LogScale)) {}
-
-void LatencyQuantile::observe(Duration Latency) {
-  if (Latency > this->value())
-    this->LogValue.fetch_add(this->StepUp, std::memory_order_relaxed);
-  else
-    this->LogValue.fetch_sub(this->StepDown, std::memory_order_relaxed);
-}
-
-Duration LatencyQuantile::value() const {
-  const double Log =
-      static_cast<double>(this->LogValue.load(std::memory_order_relaxed)) /
-      LogScale;
-  return Duration(static_cast<std::int64_t>(std::exp2(Log)));
-}
-
 void ServiceStats::ended(Duration HalfTime, std::uint32_t InFlightAtStart) {
   this->InFlight.fetch_sub(1, std::memory_order_relaxed);
   const std::int64_t Former =
--- /dev/null
+++ b/balsamyard/src/Connection/TargetCall.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "balsamyard/src/Version/TargetState.h"
+#include "balsamyard/src/Core/Error.h"
+#include "balsamyard/src/Core/Http.h"
+#include "balsamyard/src/Core/RefCounted.h"
+#include "balsamyard/src/Version/FleetView.h"
+
+#include <boost/intrusive/list_hook.hpp>
+#include <functional>
+#include <string>
+
+namespace balsamyard {
+
+/// \brief One request to one target, from its submission to its end. It may
+/// outlive the request of the caller that it belongs to.
+struct TargetCall : RefCounted<TargetCall> {
+  Ref<TargetState> Target;
+  Ref<RouteStats> Stats;
+  std::string Method;
+  TimePoint Deadline{}; ///< The target stops its work by then.
+
+  /// \brief Makes the message when the connection is there, so that the time
+  /// left in it is true.
+  std::function<std::string(TimePoint)> MakeMessage;
+
+  /// \brief The message was handed to a connection.
+  std::function<void()> OnSent;
+
+  /// \brief There is an answer, or there will be none. Called once, unless the
+  /// call was withdrawn or aborted. Sent is false if no byte was sent.
+  std::function<void(Expected<HttpResponse>, bool Sent)> OnEnd;
+
+  TimePoint SentAt{};
+  bool Sent = false;
+  bool Late = false;
+
+  /// Position in the queue of a channel.
+  boost::intrusive::list_member_hook<> Hook;
+
+  /// \brief Counts the call as late against its target until it ends.
+  void markLate() {
+    if (this->Late || !this->Sent)
+      return;
+    this->Late = true;
+    this->Target->lateStarted();
+  }
+
+  /// \brief The request of the caller has ended; nobody waits any more.
+  void detach() {
+    this->OnSent = nullptr;
+    this->OnEnd = nullptr;
+  }
+};
+
+} // namespace balsamyard
--- /dev/null
+++ b/balsamyard/src/Connection/TargetChannel.cpp
@@ -0,0 +1,399 @@
+#include "balsamyard/src/Connection/TargetChannel.h"
+
+#include "balsamyard/src/Core/Log.h"
+
+#include <algorithm>
+#include <asio/post.hpp>
+#include <utility>
+
+namespace balsamyard {
+
+TargetChannel::TargetChannel(asio::io_context &Context, Ref<TargetState> Target,
+                             const TargetProtocol &Protocol,
+                             std::string HealthPath)
+    : Context(Context), Target(std::move(Target)), Protocol(Protocol),
+      HealthPath(std::move(HealthPath)), IdleLimit(Times.IdleLimit) {}
+
+std::size_t TargetChannel::openLinks() const {
+  return static_cast<std::size_t>(std::count_if(
+      this->Links.begin(), this->Links.end(),
+      [](const Ref<LinkEntry> &Entry) { return !Entry->Opening; }));
+}
+
+void TargetChannel::submit(Ref<TargetCall> Call) {
+  this->Target->started();
+  if (this->Retired || this->Target->reach() == Reach::Down) {
+    // Later, because the caller of submit() is not done with its request.
+    asio::post(this->Context, [Self = Ref<TargetChannel>(this), Call] {
+      Self->endCall(*Call, fail(Code::PeerUnreachable, "no connection"));
+    });
+    return;
+  }
+  this->Waiting.push_back(*Call.detach());
+  this->dispatch();
+}
+
+void TargetChannel::dispatch() {
+  if (this->Target->reach() != Reach::Up)
+    return;
+  const TimePoint Now = steadyNow();
+  while (!this->Waiting.empty()) {
+    // The connection that was idle longest comes first, so that none of them
+    // reaches the idle limit of the target while there is traffic.
+    LinkEntry *Best = nullptr;
+    for (const Ref<LinkEntry> &Entry : this->Links)
+      if (!Entry->Opening && !Entry->Running &&
+          Now - Entry->Link->idleSince() < this->IdleLimit &&
+          (Best == nullptr ||
+           Entry->Link->idleSince() < Best->Link->idleSince()))
+        Best = Entry.get();
+    if (Best == nullptr)
+      break;
+    const Ref<LinkEntry> Chosen(Best);
+    if (!Chosen->Link->isReady()) {
+      Chosen->Link->close();
+      this->remove(*Chosen);
+      continue;
+    }
+    Ref<TargetCall> Call(&this->Waiting.front(), false);
+    this->Waiting.pop_front();
+    this->run(*Chosen, std::move(Call));
+  }
+  const std::size_t Opening = this->Links.size() - this->openLinks();
+  if (this->Waiting.size() > Opening)
+    this->openLink();
+}
+
+void TargetChannel::run(LinkEntry &Entry, Ref<TargetCall> Call) {
+  const TimePoint Now = steadyNow();
+  Call->Sent = true;
+  Call->SentAt = Now;
+  Entry.Running = Call;
+  Ref<TargetChannel> Self(this);
+  Ref<LinkEntry> Held(&Entry);
+  Entry.Link->send(Call->MakeMessage(Now), Call->Method != "HEAD",
+                   [Self, Held](Expected<HttpResponse> Result) {
+                     Self->onAnswer(Held, std::move(Result));
+                   });
+  if (Call->OnSent)
+    Call->OnSent();
+}
+
+void TargetChannel::openLink() {
+  const TimePoint Now = steadyNow();
+  if (this->Retired || this->Links.size() >= this->MaxLinks ||
+      Now < this->NextOpen)
+    return;
+  auto Entry = makeRef<LinkEntry>();
+  Entry->Link = makeRef<HttpLink>(this->Context, HttpLimits{});
+  this->Links.push_back(Entry);
+  Ref<TargetChannel> Self(this);
+  Entry->Link->onIdleClose([Self, Entry] {
+    const TimePoint At = steadyNow();
+    const bool IsNew = At - Entry->OpenedAt < Self->Times.FullPause;
+    if (IsNew)
+      Self->NextOpen = At + Self->Times.FullPause;
+    Self->onLinkLost(*Entry,
+                     At - Entry->Link->idleSince() >= Self->IdleLimit);
+  });
+  Entry->Link->open(this->Target->Info.Address, this->Times.OpenTimeout,
+                    [Self, Entry](Expected<void> Result) {
+                      if (!Result) {
+                        Self->onLinkLost(*Entry, false);
+                        return;
+                      }
+                      Entry->Opening = false;
+                      Entry->OpenedAt = steadyNow();
+                      Self->dispatch();
+                    });
+}
+
+void TargetChannel::remove(const LinkEntry &Entry) {
+  std::erase_if(this->Links, [&](const Ref<LinkEntry> &Item) {
+    return Item.get() == &Entry;
+  });
+}
+
+void TargetChannel::onLinkLost(const LinkEntry &Entry, bool Expected) {
+  const Ref<TargetChannel> Self(this);
+  this->remove(Entry);
+  // A target whose other connections live has only closed this one; one that
+  // crashed loses all of them at once.
+  if (!Expected && this->openLinks() == 0)
+    this->suspect();
+  else
+    this->dispatch();
+}
+
+void TargetChannel::observe(TargetCall &Call,
+                            const Expected<HttpResponse> &Result,
+                            TimePoint Now) {
+  if (!Result) {
+    this->Target->observeFailure(Now);
+    return;
+  }
+  this->Protocol.readLoad(*Result, *this->Target, Now);
+  if (const std::optional<Duration> Stated = statedIdleTime(*Result))
+    this->IdleLimit =
+        std::max(*Stated - this->Times.IdleMargin, *Stated / 2);
+  if (Result->Status / 100 != 2) {
+    this->Target->observeFailure(Now);
+    return;
+  }
+  const Duration Latency = Now - Call.SentAt;
+  this->Target->observe(Latency, Call.Stats->Median.value(), Now);
+  Call.Stats->Median.observe(Latency);
+  Call.Stats->Late.observe(Latency);
+}
+
+void TargetChannel::endCall(TargetCall &Call, Expected<HttpResponse> Result) {
+  this->Target->ended();
+  if (Call.Late)
+    this->Target->lateEnded();
+  Call.Late = false;
+  // The handler may drop the last other reference to the call.
+  const auto Handler = std::exchange(Call.OnEnd, nullptr);
+  Call.OnSent = nullptr;
+  if (Handler)
+    Handler(std::move(Result), Call.Sent);
+}
+
+void TargetChannel::onAnswer(const Ref<LinkEntry> &Entry,
+                             Expected<HttpResponse> Result) {
+  const Ref<TargetChannel> Self(this);
+  const Ref<TargetCall> Call = std::move(Entry->Running);
+  this->observe(*Call, Result, steadyNow());
+  const bool Alive = Entry->Link->isOpen();
+  const bool Broken = !Result;
+  if (!Alive) {
+    this->remove(*Entry);
+    if (Broken && this->openLinks() == 0)
+      this->suspect();
+  }
+  this->endCall(*Call, std::move(Result));
+  this->dispatch();
+}
+
+void TargetChannel::withdraw(TargetCall &Call) {
+  if (Call.Sent || !Call.Hook.is_linked())
+    return;
+  Call.detach();
+  this->Waiting.erase(this->Waiting.iterator_to(Call));
+  this->Target->ended();
+  Ref<TargetCall> Released(&Call, false);
+}
+
+void TargetChannel::abort(TargetCall &Call) {
+  Call.detach();
+  if (!Call.Sent) {
+    this->withdraw(Call);
+    return;
+  }
+  for (const Ref<LinkEntry> &Entry : this->Links) {
+    if (Entry->Running.get() != &Call)
+      continue;
+    const Ref<LinkEntry> Held = Entry;
+    const Ref<TargetCall> Ended = std::move(Held->Running);
+    Held->Link->close();
+    this->remove(*Held);
+    this->endCall(*Ended, fail(Code::Cancelled, "the caller left"));
+    this->dispatch();
+    return;
+  }
+}
+
+void TargetChannel::failWaiting() {
+  while (!this->Waiting.empty()) {
+    const Ref<TargetCall> Call(&this->Waiting.front(), false);
+    this->Waiting.pop_front();
+    this->endCall(*Call, fail(Code::PeerUnreachable, "no connection"));
+  }
+}
+
+void TargetChannel::suspect() {
+  if (this->Target->reach() != Reach::Up || this->Retired) {
+    this->failWaiting();
+    return;
+  }
+  this->Target->setReach(Reach::Suspect);
+  this->ProbePause = this->Times.MinProbePause;
+  logEvent(LogLevel::Info, "target-suspect",
+           {{"target", this->Target->Info.Id.Text},
+            {"service", this->Target->Info.Service.Text}});
+  this->probe();
+}
+
+void TargetChannel::probe() {
+  const TimePoint Now = steadyNow();
+  this->ProbeDeadline = Now + this->Times.ProbeTimeout;
+  this->ProbeLink = makeRef<HttpLink>(this->Context, HttpLimits{});
+  Ref<TargetChannel> Self(this);
+  const Ref<HttpLink> Link = this->ProbeLink;
+  Link->open(this->Target->Info.Address, this->Times.ProbeTimeout,
+             [Self, Link](Expected<void> Result) {
+               if (!Result) {
+                 Self->onProbe(tl::unexpected(Result.error()));
+                 return;
+               }
+               Link->send(Self->Protocol.healthRequest(Self->Target->Info,
+                                                       Self->HealthPath),
+                          true, [Self](Expected<HttpResponse> Answer) {
+                            Self->onProbe(std::move(Answer));
+                          });
+             });
+}
+
+void TargetChannel::onProbe(Expected<HttpResponse> Result) {
+  const TimePoint Now = steadyNow();
+  const Ref<HttpLink> Link = std::exchange(this->ProbeLink, nullptr);
+  if (!Result) {
+    Link->close();
+    this->probeFailed();
+    return;
+  }
+  const std::string_view Id = this->Protocol.targetId(*Result);
+  if (!Id.empty() && Id != this->Target->Info.Id.Text) {
+    // Another target has the address; the list of targets will say so.
+    Link->close();
+    this->probeFailed();
+    return;
+  }
+  // A full target rejects the health request, which shows neither its id nor
+  // whether it is cold.
+  if (Id.empty()) {
+    Link->close();
+    this->NextProbe = Now + this->ProbePause;
+    return;
+  }
+  const Duration Cold = this->Protocol.coldLeft(*Result);
+  if (Cold > Duration::zero())
+    this->Target->coldUntil(Now + Cold);
+  this->Target->setReach(Reach::Up);
+  logEvent(LogLevel::Info, "target-reached",
+           {{"target", this->Target->Info.Id.Text}, {"cold", Cold}});
+  if (Link->isOpen() && !this->Retired &&
+      this->Links.size() < this->MaxLinks) {
+    auto Entry = makeRef<LinkEntry>();
+    Entry->Link = Link;
+    Entry->Opening = false;
+    Entry->OpenedAt = Now;
+    this->Links.push_back(Entry);
+    Ref<TargetChannel> Self(this);
+    Link->onIdleClose([Self, Entry] {
+      Self->onLinkLost(*Entry, steadyNow() - Entry->Link->idleSince() >=
+                                   Self->IdleLimit);
+    });
+  } else {
+    Link->close();
+  }
+  this->dispatch();
+}
+
+void TargetChannel::probeFailed() {
+  if (this->Target->reach() != Reach::Down)
+    logEvent(LogLevel::Warning, "target-unreachable",
+             {{"target", this->Target->Info.Id.Text},
+              {"service", this->Target->Info.Service.Text}});
+  this->Target->setReach(Reach::Down);
+  this->NextProbe = steadyNow() + this->ProbePause;
+  this->ProbePause = std::min(2 * this->ProbePause, this->Times.MaxProbePause);
+  this->failWaiting();
+}
+
+void TargetChannel::tick(TimePoint Now) {
+  const Ref<TargetChannel> Self(this);
+  if (this->ProbeLink && Now >= this->ProbeDeadline) {
+    std::exchange(this->ProbeLink, nullptr)->close();
+    this->probeFailed();
+  }
+  if (!this->Retired && !this->ProbeLink &&
+      this->Target->reach() != Reach::Up && Now >= this->NextProbe)
+    this->probe();
+
+  const std::vector<Ref<LinkEntry>> Current = this->Links;
+  for (const Ref<LinkEntry> &Entry : Current) {
+    if (Entry->Running &&
+        Now > Entry->Running->Deadline + this->Times.AnswerGrace) {
+      Entry->Link->close();
+      this->onAnswer(Entry, fail(Code::DeadlineExceeded, "no answer"));
+    } else if (!Entry->Opening && !Entry->Running &&
+               (this->Retired ||
+                Now - Entry->Link->idleSince() >= this->IdleLimit)) {
+      Entry->Link->close();
+      this->remove(*Entry);
+    }
+  }
+  if (this->Retired)
+    return;
+  if (this->Target->reach() == Reach::Up &&
+      this->Links.size() < std::min(WarmLinks, this->MaxLinks))
+    this->openLink();
+}
+
+void TargetChannel::retire() {
+  this->Retired = true;
+  if (this->ProbeLink)
+    std::exchange(this->ProbeLink, nullptr)->close();
+  this->failWaiting();
+}
+
+void TargetChannel::resume() {
+  if (!this->Retired)
+    return;
+  this->Retired = false;
+  // It may have turned cold meanwhile.
+  this->suspect();
+}
+
+void TargetChannels::follow(const FleetView &View, std::size_t Threads) {
+  std::unordered_map<const TargetState *, bool> Listed;
+  for (std::size_t At = 0; At < View.Services.size(); ++At) {
+    const ServiceSpec &Spec = View.Config->Services[At];
+    // One share stays free, for a process that starts before it is counted.
+    const std::size_t Share =
+        Spec.MaxConnections / (View.Shares.Nodes + 1) / Threads;
+    for (const Ref<TargetState> &Target : View.Services[At].Targets) {
+      Listed[Target.get()] = true;
+      Ref<TargetChannel> &Channel = this->Channels[Target.get()];
+      if (!Channel)
+        Channel = makeRef<TargetChannel>(this->Context, Target, this->Protocol,
+                                         Spec.HealthPath);
+      Channel->setMaxLinks(std::max<std::size_t>(Share, 1));
+      Channel->resume();
+      Channel->tick(steadyNow());
+    }
+  }
+  for (const auto &[Target, Channel] : this->Channels)
+    if (!Listed.contains(Target))
+      Channel->retire();
+}
+
+TargetChannel &TargetChannels::of(TargetState &Target) {
+  Ref<TargetChannel> &Channel = this->Channels[&Target];
+  if (!Channel) {
+    Channel = makeRef<TargetChannel>(this->Context, Ref<TargetState>(&Target),
+                                     this->Protocol, "/");
+    Channel->retire();
+  }
+  return *Channel;
+}
+
+void TargetChannels::tick(TimePoint Now) {
+  for (auto At = this->Channels.begin(); At != this->Channels.end();) {
+    const Ref<TargetChannel> Channel = At->second;
+    Channel->tick(Now);
+    if (Channel->isRetired() && Channel->isIdle())
+      At = this->Channels.erase(At);
+    else
+      ++At;
+  }
+}
+
+std::size_t TargetChannels::links() const {
+  std::size_t Count = 0;
+  for (const auto &[Target, Channel] : this->Channels)
+    Count += Channel->links();
+  return Count;
+}
+
+} // namespace balsamyard
--- /dev/null
+++ b/balsamyard/src/Connection/TargetChannel.h
@@ -0,0 +1,152 @@
+#pragma once
+
+#include "balsamyard/src/Connection/HttpLink.h"
+#include "balsamyard/src/Connection/TargetProtocol.h"
+#include "balsamyard/src/Version/TargetState.h"
+#include "balsamyard/src/Connection/TargetCall.h"
+
+#include <boost/intrusive/list.hpp>
+#include <unordered_map>
+#include <vector>
+
+namespace balsamyard {
+
+/// \brief How a channel uses its connections; the same for all targets.
+struct ChannelTimes {
+  /// A connection between regions opens in about 50 ms and a target spends 6
+  /// ms on it; a second of patience covers a lost packet.
+  Duration OpenTimeout = std::chrono::seconds(1);
+
+  /// A health request waits for a slot like any other.
+  Duration ProbeTimeout = std::chrono::seconds(1);
+
+  /// First and longest pause between two checks of an unreachable target.
+  Duration MinProbePause = std::chrono::milliseconds(150);
+  Duration MaxProbePause = std::chrono::seconds(1);
+
+  /// A target stops work at the deadline that it was given; its answer that
+  /// says so needs this long at most.
+  Duration AnswerGrace = std::chrono::milliseconds(250);
+
+  /// Idle time of a connection whose target states none.
+  Duration IdleLimit = std::chrono::seconds(5);
+
+  /// A connection is not used in the last part of the idle time that the
+  /// target states: its close may be on the way.
+  Duration IdleMargin = std::chrono::milliseconds(500);
+
+  /// A target that closes a new connection at once has no room for it.
+  Duration FullPause = std::chrono::milliseconds(500);
+};
+
+/// \brief The connections of one I/O thread to one target, and the calls that
+/// wait for one.
+class TargetChannel : public RefCounted<TargetChannel> {
+public:
+  /// Connections that are kept open in advance: requests come in at any time,
+  /// and a new connection takes several milliseconds.
+  static constexpr std::size_t WarmLinks = 2;
+
+  TargetChannel(asio::io_context &Context, Ref<TargetState> Target,
+                const TargetProtocol &Protocol, std::string HealthPath);
+
+  /// \brief Sends the call as soon as a connection is free.
+  void submit(Ref<TargetCall> Call);
+
+  /// \brief Takes back a call that was not sent.
+  void withdraw(TargetCall &Call);
+
+  /// \brief Ends a call at once; if it was sent, its connection is closed, and
+  /// the target drops the work.
+  void abort(TargetCall &Call);
+
+  /// \brief Checks deadlines, idle connections and unreachable targets.
+  void tick(TimePoint Now);
+
+  /// \brief Connections that this thread may have open.
+  void setMaxLinks(std::size_t Count) { this->MaxLinks = Count; }
+
+  /// \brief The target may get no new requests; running ones finish.
+  void retire();
+
+  /// \brief The target may get new requests again once its health page shows
+  /// whether it is cold.
+  void resume();
+
+  bool isRetired() const { return this->Retired; }
+  bool isIdle() const { return this->Links.empty() && this->Waiting.empty(); }
+  std::size_t links() const { return this->Links.size(); }
+
+private:
+  struct LinkEntry : RefCounted<LinkEntry> {
+    Ref<HttpLink> Link;
+    Ref<TargetCall> Running;
+    TimePoint OpenedAt{};
+    bool Opening = true;
+  };
+
+  using CallList = boost::intrusive::list<
+      TargetCall,
+      boost::intrusive::member_hook<TargetCall,
+                                    boost::intrusive::list_member_hook<>,
+                                    &TargetCall::Hook>>;
+
+  void openLink();
+  void dispatch();
+  void run(LinkEntry &Entry, Ref<TargetCall> Call);
+  void onAnswer(const Ref<LinkEntry> &Entry, Expected<HttpResponse> Result);
+  void onLinkLost(const LinkEntry &Entry, bool Expected);
+  void remove(const LinkEntry &Entry);
+  void suspect();
+  void probe();
+  void onProbe(Expected<HttpResponse> Result);
+  void probeFailed();
+  void endCall(TargetCall &Call, Expected<HttpResponse> Result);
+  void failWaiting();
+  void observe(TargetCall &Call, const Expected<HttpResponse> &Result,
+               TimePoint Now);
+  std::size_t openLinks() const;
+
+  asio::io_context &Context;
+  const Ref<TargetState> Target;
+  const TargetProtocol &Protocol;
+  const std::string HealthPath;
+  const ChannelTimes Times;
+  std::size_t MaxLinks = 1;
+  std::vector<Ref<LinkEntry>> Links;
+  CallList Waiting;
+  Ref<HttpLink> ProbeLink;
+  TimePoint ProbeDeadline{};
+  TimePoint NextProbe{};
+  TimePoint NextOpen{};
+  Duration ProbePause{};
+  Duration IdleLimit;
+  bool Retired = false;
+};
+
+/// \brief The channels of one I/O thread.
+class TargetChannels {
+public:
+  TargetChannels(asio::io_context &Context, const TargetProtocol &Protocol)
+      : Context(Context), Protocol(Protocol) {}
+
+  /// \brief Opens channels to new targets of \p View and retires those that
+  /// are not in it. \p Threads share the connections of the process.
+  void follow(const FleetView &View, std::size_t Threads);
+
+  /// \returns the channel of a target, also of one that left the view while a
+  /// request still refers to it.
+  TargetChannel &of(TargetState &Target);
+
+  void tick(TimePoint Now);
+
+  /// \returns the open connections of all channels.
+  std::size_t links() const;
+
+private:
+  asio::io_context &Context;
+  const TargetProtocol &Protocol;
+  std::unordered_map<const TargetState *, Ref<TargetChannel>> Channels;
+};
+
+} // namespace balsamyard
--- /dev/null
+++ b/balsamyard/src/Connection/TargetProtocol.cpp
@@ -0,0 +1,238 @@
+#include "balsamyard/src/Connection/TargetProtocol.h"
+
+#include "balsamyard/src/Core/Overload.h"
+
+#include <array>
+#include <charconv>
+
+namespace balsamyard {
+
+namespace {
+
+/// \returns the whole number at the start of \p Text, if there is one.
+std::optional<std::int64_t> wholeNumber(std::string_view Text) {
+  std::int64_t Value = 0;
+  const auto Result =
+      std::from_chars(Text.data(), Text.data() + Text.size(), Value);
+  if (Result.ec != std::errc() || Value < 0)
+    return std::nullopt;
+  return Value;
+}
+
+std::int64_t toMillis(Duration Value) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(Value).count();
+}
+
+void appendStatusLine(std::string &Message, int Status) {
+  Message.append("HTTP/1.1 ")
+      .append(std::to_string(Status))
+      .append(" ")
+      .append(reasonPhrase(Status))
+      .append("\r\n");
+}
+
+void appendEnd(std::string &Message, std::string_view Body, bool KeepAlive,
+               bool WithBody) {
+  appendField(Message, "Content-Length", std::to_string(Body.size()));
+  if (!KeepAlive)
+    appendField(Message, "Connection", "close");
+  Message.append("\r\n");
+  if (WithBody)
+    Message.append(Body);
+}
+
+/// Fractions of a second, as callers accept them.
+std::string secondsText(Duration Value) {
+  std::array<char, 32> Text{};
+  const auto Result =
+      std::to_chars(Text.data(), Text.data() + Text.size(),
+                    std::chrono::duration<double>(Value).count(),
+                    std::chars_format::fixed, 3);
+  return {Text.data(), Result.ptr};
+}
+
+} // namespace
+
+std::string plainAnswer(int Status, std::string_view Text, bool KeepAlive,
+                        Duration RetryAfter, std::string_view ContentType) {
+  std::string Message;
+  appendStatusLine(Message, Status);
+  if (RetryAfter > Duration::zero())
+    appendField(Message, "Retry-After", secondsText(RetryAfter));
+  appendField(Message, "Content-Type", ContentType);
+  appendEnd(Message, Text, KeepAlive, true);
+  return Message;
+}
+
+std::optional<Duration> statedIdleTime(const HttpResponse &Response) {
+  constexpr std::string_view Key = "timeout=";
+  const std::string *Value = Response.Fields.find("keep-alive");
+  if (Value == nullptr)
+    return std::nullopt;
+  const std::size_t At = Value->find(Key);
+  if (At == std::string::npos)
+    return std::nullopt;
+  const auto Seconds =
+      wholeNumber(std::string_view(*Value).substr(At + Key.size()));
+  if (!Seconds)
+    return std::nullopt;
+  return std::chrono::seconds(*Seconds);
+}
+
+std::string_view TargetProtocol::requestId(const HttpRequest &Request) const {
+  const std::string *Value = Request.Fields.find(this->Names.RequestId);
+  return Value == nullptr ? std::string_view() : std::string_view(*Value);
+}
+
+std::optional<Duration>
+TargetProtocol::timeLeft(const HttpRequest &Request) const {
+  const std::string *Value = Request.Fields.find(this->Names.TimeLeft);
+  if (Value == nullptr)
+    return std::nullopt;
+  const auto Millis = wholeNumber(*Value);
+  if (!Millis)
+    return std::nullopt;
+  return std::chrono::milliseconds(*Millis);
+}
+
+Duration TargetProtocol::coldLeft(const HttpResponse &Response) const {
+  const std::string *Value = Response.Fields.find(this->Names.ColdLeft);
+  if (Value == nullptr)
+    return Duration::zero();
+  return std::chrono::milliseconds(wholeNumber(*Value).value_or(0));
+}
+
+std::string_view
+TargetProtocol::targetId(const HttpResponse &Response) const {
+  const std::string *Value = Response.Fields.find(this->Names.TargetId);
+  return Value == nullptr ? std::string_view() : std::string_view(*Value);
+}
+
+void TargetProtocol::readLoad(const HttpResponse &Response,
+                              TargetState &Target, TimePoint Now) const {
+  const std::string *Value = Response.Fields.find(this->Names.Load);
+  if (Value == nullptr)
+    return;
+  const std::size_t Comma = Value->find(',');
+  if (Comma == std::string::npos)
+    return;
+  const auto Running = wholeNumber(*Value);
+  const auto Waiting =
+      wholeNumber(std::string_view(*Value).substr(Comma + 1));
+  if (Running && Waiting)
+    Target.reportLoad(static_cast<std::uint32_t>(*Running),
+                      static_cast<std::uint32_t>(*Waiting), Now);
+}
+
+std::string TargetProtocol::sharedPart(const HttpRequest &Request) const {
+  std::string Message;
+  Message.reserve(512);
+  Message.append(Request.Method)
+      .append(" ")
+      .append(Request.Target)
+      .append(" HTTP/1.1\r\n");
+  for (const HttpField &Field : Request.Fields) {
+    if (isHopByHop(Request.Fields, Field.Name) ||
+        sameHeaderName(Field.Name, "content-length") ||
+        sameHeaderName(Field.Name, "expect") ||
+        sameHeaderName(Field.Name, this->Names.TimeLeft) ||
+        sameHeaderName(Field.Name, this->Names.ExpectedTarget))
+      continue;
+    appendField(Message, Field.Name, Field.Value);
+  }
+  if (!Request.Body.empty() ||
+      Request.Fields.find("content-length") != nullptr ||
+      Request.Fields.find("transfer-encoding") != nullptr)
+    appendField(Message, "Content-Length",
+                std::to_string(Request.Body.size()));
+  return Message;
+}
+
+std::string TargetProtocol::message(std::string_view SharedPart,
+                                    std::string_view Body,
+                                    const TargetInfo &Target,
+                                    Duration TimeLeft) const {
+  std::string Message;
+  Message.reserve(SharedPart.size() + Body.size() + 128);
+  Message.append(SharedPart);
+  appendField(Message, this->Names.TimeLeft,
+              std::to_string(std::max<std::int64_t>(toMillis(TimeLeft), 0)));
+  appendField(Message, this->Names.ExpectedTarget, Target.Id.Text);
+  Message.append("\r\n").append(Body);
+  return Message;
+}
+
+std::string TargetProtocol::healthRequest(const TargetInfo &Target,
+                                          std::string_view Path) const {
+  std::string Message;
+  Message.append("GET ").append(Path).append(" HTTP/1.1\r\n");
+  appendField(Message, "Host", toText(Target.Address));
+  Message.append("\r\n");
+  return Message;
+}
+
+std::optional<TargetAnswer>
+TargetProtocol::read(HttpResponse Response, std::string_view RequestId) const {
+  const std::string *Echo = Response.Fields.find(this->Names.RequestId);
+  if (Echo != nullptr && *Echo != RequestId)
+    return std::nullopt;
+  TargetAnswer Answer;
+  if (Response.Status == 421 ||
+      Response.Fields.find(this->Names.NotExecuted) != nullptr) {
+    Answer.Kind = AnswerKind::NotExecuted;
+    Answer.Response = std::move(Response);
+    return Answer;
+  }
+  const std::string *Receipt = Response.Fields.find(this->Names.Receipt);
+  if (Response.Status / 100 == 2) {
+    // A success counts only with its receipt, and its body only as the target
+    // sent it.
+    if (Echo == nullptr || Receipt == nullptr || Receipt->empty() ||
+        Response.Fields.find("content-encoding") != nullptr)
+      return std::nullopt;
+    Answer.Kind = AnswerKind::Complete;
+    Answer.Receipt = *Receipt;
+  }
+  Answer.Response = std::move(Response);
+  return Answer;
+}
+
+std::string TargetProtocol::answer(const CallerAnswer &Outcome,
+                                   bool KeepAlive, bool WithBody) const {
+  return std::visit(
+      Overload{
+          [&](const MergedAnswer &Merged) {
+            std::string Message;
+            appendStatusLine(Message, 200);
+            std::string List;
+            for (const std::string &Receipt : Merged.Receipts)
+              List.append(List.empty() ? "" : ", ").append(Receipt);
+            appendField(Message, this->Names.Receipts, List);
+            appendField(Message, this->Names.MissingParts,
+                        std::to_string(Merged.MissingParts));
+            appendField(Message, "Content-Type", "application/octet-stream");
+            appendEnd(Message, Merged.Records, KeepAlive, WithBody);
+            return Message;
+          },
+          [&](const ForwardedAnswer &Forwarded) {
+            const HttpResponse &Response = Forwarded.Response;
+            std::string Message;
+            appendStatusLine(Message, Response.Status);
+            for (const HttpField &Field : Response.Fields)
+              if (!isHopByHop(Response.Fields, Field.Name) &&
+                  !sameHeaderName(Field.Name, "content-length"))
+                appendField(Message, Field.Name, Field.Value);
+            appendEnd(Message, Response.Body, KeepAlive, WithBody);
+            return Message;
+          },
+          [&](const NotExecutedAnswer &Refused) {
+            return plainAnswer(503, Refused.Reason, KeepAlive,
+                               Refused.RetryAfter);
+          },
+          [&](const FailedAnswer &Failed) {
+            return plainAnswer(Failed.Status, Failed.Reason, KeepAlive);
+          }},
+      Outcome);
+}
+
+} // namespace balsamyard
--- /dev/null
+++ b/balsamyard/src/Core/Http.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace balsamyard {
+
+/// \brief One header field of an HTTP message.
+struct HttpField {
+  std::string Name;
+  std::string Value;
+};
+
+/// \returns whether two header names are equal; they ignore case.
+bool sameHeaderName(std::string_view Left, std::string_view Right);
+
+/// \brief Header fields in the order in which they were received.
+class HttpFields {
+public:
+  void add(std::string_view Name, std::string_view Value) {
+    this->List.push_back({std::string(Name), std::string(Value)});
+  }
+
+  /// \returns the value of the first field of that name, or nullptr.
+  const std::string *find(std::string_view Name) const;
+
+  /// \returns the number of fields of that name.
+  std::size_t count(std::string_view Name) const;
+
+  /// \returns whether a field of that name lists \p Token, as in
+  /// "Connection: keep-alive, Upgrade".
+  bool lists(std::string_view Name, std::string_view Token) const;
+
+  auto begin() const { return this->List.begin(); }
+  auto end() const { return this->List.end(); }
+  bool empty() const { return this->List.empty(); }
+  HttpField &last() { return this->List.back(); }
+
+private:
+  std::vector<HttpField> List;
+};
+
+/// \brief A whole request; Target is the path with its query.
+struct HttpRequest {
+  std::string Method;
+  std::string Target;
+  HttpFields Fields;
+  std::string Body;
+  bool KeepAlive = true;
+};
+
+/// \brief A whole response.
+struct HttpResponse {
+  int Status = 0;
+  HttpFields Fields;
+  std::string Body;
+  bool KeepAlive = true;
+};
+
+/// \returns whether a field concerns only one connection and is not forwarded:
+/// those of RFC 9110, section 7.6.1, and those that \p Fields lists in its
+/// Connection field.
+bool isHopByHop(const HttpFields &Fields, std::string_view Name);
+
+/// \returns the reason phrase of a status.
+std::string_view reasonPhrase(int Status);
+
+/// \brief Appends "NAME: VALUE" and a line end.
+void appendField(std::string &Message, std::string_view Name,
+                 std::string_view Value);
+
+} // namespace balsamyard
--- a/balsamyard/src/Process/Log.cpp
+++ b/balsamyard/src/Core/Log.cpp
@@ -1,4 +1,4 @@
-#include "balsamyard/src/Process/Log.h"
+#include "balsamyard/src/Core/Log.h"
 
 #include <array>
 #include <boost/core/null_deleter.hpp>
--- a/balsamyard/src/Core/Names.h
+++ b/balsamyard/src/Core/Names.h
@@ -21,6 +21,7 @@
 using ServiceName = Name<struct ServiceTag>;
 using RouteName = Name<struct RouteTag>;
 using VersionName = Name<struct VersionTag>; ///< A back end version.
+using TargetId = Name<struct TargetTag>;     ///< One target process.
 using RequestId = Name<struct RequestTag>;   ///< Chosen by the caller.
 
 /// \brief Identifies a query between an entry process and its holders.
--- /dev/null
+++ b/balsamyard/src/Process/Discovery.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "balsamyard/src/Process/NodeSettings.h"
+#include "balsamyard/src/Process/PlatformAdapter.h"
+#include "balsamyard/src/Version/FleetView.h"
+
+#include <map>
+#include <optional>
+#include <set>
+
+namespace balsamyard {
+
+/// \brief What this process knows of configuration, targets and orders, and
+/// the view for requests that follows from it. Runs on the control thread.
+class Discovery {
+public:
+  explicit Discovery(const NodeSettings &Settings);
+
+  /// \brief A configuration was read. \returns whether it is newer than the
+  /// one in force; an older one is never taken.
+  bool configure(Ref<const Configuration> Next);
+
+  /// \brief A target announced itself, or its announcement changed.
+  void announce(const TargetAnnouncement &Heard, TimePoint Now);
+
+  /// \brief An announcement was withdrawn. The target is used a little longer
+  /// while its connections work: entries also disappear while the store is
+  /// away, and come back.
+  void withdraw(const TargetId &Id, TimePoint Now);
+
+  /// \brief Withdraws every target that is not in \p Listed.
+  void keepOnly(const std::set<TargetId> &Listed, TimePoint Now);
+
+  void evacuate(const DomainName &Domain);
+  void endEvacuation(const DomainName &Domain);
+  void evacuateOnly(const std::set<DomainName> &Domains);
+
+  /// \brief The number of processes of the system.
+  void setNodes(std::uint32_t Count);
+  std::uint32_t nodes() const { return this->Nodes; }
+
+  /// \returns when the next withdrawn target is given up, if any.
+  std::optional<TimePoint> nextExpiry() const;
+  void expire(TimePoint Now);
+
+  /// \returns whether the view would differ from the one last built.
+  bool changed() const { return this->Changed; }
+
+  /// \returns a view of all that is known.
+  Ref<const FleetView> build();
+
+  /// \returns whether requests can be served.
+  bool canServe() const {
+    return this->Config != nullptr && !this->Targets.empty();
+  }
+
+  std::size_t targets() const { return this->Targets.size(); }
+
+private:
+  struct Entry {
+    Ref<TargetState> State;
+    std::optional<TimePoint> WithdrawnUntil;
+    bool Leaving = false;
+  };
+
+  void setStanding(Entry &Known);
+  Distance distanceOf(const DomainName &Domain) const;
+  RegionName regionOf(const DomainName &Domain) const;
+  Duration withdrawalHold() const;
+
+  const NodeSettings Settings;
+  Ref<const Configuration> Config;
+  std::map<TargetId, Entry> Targets;
+  std::set<DomainName> Evacuated;
+  std::map<ServiceName, Ref<RetryBudget>> Budgets;
+  std::map<RouteName, Ref<RouteStats>> Stats;
+  std::uint32_t Nodes;
+  bool Changed = false;
+};
+
+} // namespace balsamyard
--- /dev/null
+++ b/balsamyard/src/Process/FleetAgent.cpp
@@ -0,0 +1,246 @@
+#include "balsamyard/src/Process/FleetAgent.h"
+
+#include "balsamyard/src/Core/Log.h"
+
+#include <set>
+
+namespace balsamyard {
+
+FleetAgent::FleetAgent(asio::io_context &Context, const NodeSettings &Settings,
+                       const PlatformAdapter &Adapter,
+                       RcuCell<FleetView> &View,
+                       std::function<void()> OnPublished)
+    : Context(Context), Settings(Settings), Adapter(Adapter), View(View),
+      OnPublished(std::move(OnPublished)), Known(Settings),
+      Feeds{std::make_unique<Feed>(Context, ObjectKind::Configuration,
+                                   Settings.Store),
+            std::make_unique<Feed>(Context, ObjectKind::Targets,
+                                   Settings.Store),
+            std::make_unique<Feed>(Context, ObjectKind::Evacuations,
+                                   Settings.Store)},
+      NodeChannel(Context, Settings.Store), NodeTimer(Context),
+      WorkTimer(Context) {}
+
+void FleetAgent::start() {
+  for (const std::unique_ptr<Feed> &Each : this->Feeds)
+    this->input(*Each, FeedStarted{});
+  this->registerNode();
+}
+
+void FleetAgent::reload(const NodeSettings &Next) {
+  for (const std::unique_ptr<Feed> &Each : this->Feeds)
+    Each->Channel.setStore(Next.Store);
+  this->NodeChannel.setStore(Next.Store);
+}
+
+void FleetAgent::input(Feed &From, FeedInput Input) {
+  FeedOutputs Outputs;
+  From.State.handle(std::move(Input), Outputs);
+  for (FeedOutput &Output : Outputs)
+    std::visit([&](auto &What) { this->on(From, What); }, Output);
+  this->scheduleWork();
+}
+
+void FleetAgent::on(Feed &From, const CallList &Output) {
+  From.Channel.call(
+      this->Adapter.ListCall(From.Kind, Output.After), CallTimeout,
+      [this, &From](Expected<HttpResponse> Result) {
+        this->input(From, Result ? this->Adapter.ReadPage(*Result)
+                                 : FeedInput(FeedCallFailed{Result.error()}));
+      });
+}
+
+void FleetAgent::on(Feed &From, const CallWatch &Output) {
+  From.Channel.call(
+      this->Adapter.WatchCall(From.Kind, Output.Since, WatchWait),
+      WatchWait + CallTimeout, [this, &From](Expected<HttpResponse> Result) {
+        this->input(From, Result ? this->Adapter.ReadEvents(*Result)
+                                 : FeedInput(FeedCallFailed{Result.error()}));
+      });
+}
+
+void FleetAgent::on(Feed &From, const WakeFeed &Output) {
+  From.Timer.expires_after(Output.After);
+  From.Timer.async_wait([this, &From](const asio::error_code &Cancelled) {
+    if (!Cancelled)
+      this->input(From, FeedTimeReached{});
+  });
+}
+
+void FleetAgent::on(Feed &From, FeedListed &Output) {
+  switch (From.Kind) {
+  case ObjectKind::Configuration:
+    for (const StoredObject &Object : Output.Objects)
+      this->applyConfiguration(Object);
+    return;
+  case ObjectKind::Targets: {
+    std::set<TargetId> Listed;
+    for (const StoredObject &Object : Output.Objects) {
+      Listed.insert(TargetId{Object.Name});
+      this->applyTarget(Object);
+    }
+    this->Known.keepOnly(Listed, steadyNow());
+    this->TargetsListed = true;
+    return;
+  }
+  case ObjectKind::Evacuations: {
+    std::set<DomainName> Domains;
+    for (const StoredObject &Object : Output.Objects)
+      Domains.insert(DomainName{Object.Name});
+    this->Known.evacuateOnly(Domains);
+    return;
+  }
+  case ObjectKind::Moves:
+  case ObjectKind::Nodes:
+    return;
+  }
+}
+
+void FleetAgent::on(Feed &From, FeedChanged &Output) {
+  for (const ObjectChange &Change : Output.Changes)
+    this->apply(From.Kind, Change);
+}
+
+void FleetAgent::apply(ObjectKind Kind, const ObjectChange &Change) {
+  const std::string &Name = Change.Object.Name;
+  switch (Kind) {
+  case ObjectKind::Configuration:
+    if (!Change.Removed)
+      this->applyConfiguration(Change.Object);
+    return;
+  case ObjectKind::Targets:
+    if (Change.Removed)
+      this->Known.withdraw(TargetId{Name}, steadyNow());
+    else
+      this->applyTarget(Change.Object);
+    return;
+  case ObjectKind::Evacuations:
+    if (Change.Removed)
+      this->Known.endEvacuation(DomainName{Name});
+    else
+      this->Known.evacuate(DomainName{Name});
+    return;
+  case ObjectKind::Moves:
+  case ObjectKind::Nodes:
+    return;
+  }
+}
+
+void FleetAgent::applyConfiguration(const StoredObject &Object) {
+  Expected<Ref<const Configuration>> Read =
+      this->Adapter.ReadConfiguration(Object);
+  if (!Read) {
+    logEvent(LogLevel::Error, "configuration-unreadable",
+             {{"object", Object.Name},
+              {"code", Read.error().Value},
+              {"detail", Read.error().Detail}});
+    return;
+  }
+  this->Known.configure(std::move(*Read));
+}
+
+void FleetAgent::applyTarget(const StoredObject &Object) {
+  const Expected<TargetAnnouncement> Read = this->Adapter.ReadTarget(Object);
+  if (!Read) {
+    logEvent(LogLevel::Warning, "target-entry-unreadable",
+             {{"object", Object.Name},
+              {"code", Read.error().Value},
+              {"detail", Read.error().Detail}});
+    // What the entry said before does not hold any more.
+    this->Known.withdraw(TargetId{Object.Name}, steadyNow());
+    return;
+  }
+  this->Known.announce(*Read, steadyNow());
+}
+
+void FleetAgent::on(Feed &From, const FeedLost &Output) {
+  logEvent(LogLevel::Warning, "store-lost",
+           {{"kind", std::string(name(From.Kind))},
+            {"code", Output.Why.Value},
+            {"detail", Output.Why.Detail}});
+}
+
+void FleetAgent::on(Feed &From, const FeedRegained &) {
+  logEvent(LogLevel::Info, "store-regained",
+           {{"kind", std::string(name(From.Kind))}});
+}
+
+void FleetAgent::scheduleWork() {
+  const TimePoint Now = steadyNow();
+  TimePoint Next = TimePoint::max();
+  if (this->Known.changed())
+    Next = Now + PublishDelay;
+  if (const std::optional<TimePoint> Expiry = this->Known.nextExpiry())
+    Next = std::min(Next, *Expiry);
+  if (Next >= this->WorkAt)
+    return;
+  this->WorkAt = Next;
+  this->WorkTimer.expires_at(Next);
+  this->WorkTimer.async_wait([this](const asio::error_code &Cancelled) {
+    if (!Cancelled)
+      this->work();
+  });
+}
+
+void FleetAgent::work() {
+  this->WorkAt = TimePoint::max();
+  this->Known.expire(steadyNow());
+  if (this->Known.changed()) {
+    this->View.publish(this->Known.build());
+    const bool Serves = this->TargetsListed && this->Known.canServe();
+    if (Serves != this->Ready.exchange(Serves, std::memory_order_relaxed))
+      logEvent(LogLevel::Info, Serves ? "node-ready" : "node-not-ready",
+               {{"targets", static_cast<std::int64_t>(this->Known.targets())}});
+    this->OnPublished();
+  }
+  this->scheduleWork();
+}
+
+void FleetAgent::registerNode() {
+  const nlohmann::json Content = {{"domain", this->Settings.Domain.Text}};
+  this->NodeChannel.call(
+      this->Adapter.CreateCall(ObjectKind::Nodes, this->Settings.Node.Text,
+                               Content),
+      CallTimeout, [this](Expected<HttpResponse> Result) {
+        // 409: a former process of this node has registered it.
+        const bool Done = Result && (Result->Status / 100 == 2 ||
+                                     Result->Status == 409);
+        if (Done) {
+          this->countNodes();
+          return;
+        }
+        logEvent(LogLevel::Warning, "node-not-registered",
+                 {{"detail", Result ? std::to_string(Result->Status)
+                                    : Result.error().Detail}});
+        this->NodeTimer.expires_after(ObjectFeed::MaxPause);
+        this->NodeTimer.async_wait([this](const asio::error_code &Cancelled) {
+          if (!Cancelled)
+            this->registerNode();
+        });
+      });
+}
+
+void FleetAgent::countNodes() {
+  this->NodeChannel.call(
+      this->Adapter.ListCall(ObjectKind::Nodes, {}), CallTimeout,
+      [this](Expected<HttpResponse> Result) {
+        Duration Next = ObjectFeed::MaxPause;
+        if (Result) {
+          const FeedInput Page = this->Adapter.ReadPage(*Result);
+          if (const auto *Listed = std::get_if<FeedPage>(&Page)) {
+            this->Known.setNodes(
+                static_cast<std::uint32_t>(Listed->Objects.size()));
+            this->scheduleWork();
+            Next = this->Registered ? RecountInterval : FirstRecount;
+            this->Registered = true;
+          }
+        }
+        this->NodeTimer.expires_after(Next);
+        this->NodeTimer.async_wait([this](const asio::error_code &Cancelled) {
+          if (!Cancelled)
+            this->countNodes();
+        });
+      });
+}
+
+} // namespace balsamyard
--- /dev/null
+++ b/balsamyard/src/Process/FleetAgent.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include "balsamyard/src/Connection/StoreChannel.h"
+#include "balsamyard/src/Process/Discovery.h"
+#include "balsamyard/src/Process/ObjectFeed.h"
+#include "balsamyard/src/Process/PlatformAdapter.h"
+#include "balsamyard/src/Version/RcuCell.h"
+
+#include <array>
+#include <asio/steady_timer.hpp>
+#include <atomic>
+#include <functional>
+#include <memory>
+
+namespace balsamyard {
+
+/// \brief Follows the platform's store and publishes the view that requests
+/// read. Everything but isReady() runs on the control thread.
+class FleetAgent {
+public:
+  /// Longest time that a watch waits; each watch that ends is one call.
+  static constexpr Duration WatchWait = std::chrono::seconds(20);
+
+  /// The store answers in milliseconds, and 60 times as late when it is slow.
+  static constexpr Duration CallTimeout = std::chrono::milliseconds(1500);
+
+  /// Changes that arrive together are published once.
+  static constexpr Duration PublishDelay = std::chrono::milliseconds(5);
+
+  /// Nodes start within a second of each other, so the second count finds all
+  /// of them; later ones follow changes of the fleet.
+  static constexpr Duration FirstRecount = std::chrono::seconds(4);
+  static constexpr Duration RecountInterval = std::chrono::seconds(60);
+
+  FleetAgent(asio::io_context &Context, const NodeSettings &Settings,
+             const PlatformAdapter &Adapter, RcuCell<FleetView> &View,
+             std::function<void()> OnPublished);
+
+  void start();
+
+  /// \brief The settings were read again.
+  void reload(const NodeSettings &Settings);
+
+  /// \returns whether requests can be served. Thread-safe.
+  bool isReady() const { return this->Ready.load(std::memory_order_relaxed); }
+
+private:
+  struct Feed {
+    Feed(asio::io_context &Context, ObjectKind Kind, const Endpoint &Store)
+        : Kind(Kind), Channel(Context, Store), Timer(Context) {}
+
+    const ObjectKind Kind;
+    ObjectFeed State;
+    StoreChannel Channel;
+    asio::steady_timer Timer;
+  };
+
+  void input(Feed &From, FeedInput Input);
+  void on(Feed &From, const CallList &Output);
+  void on(Feed &From, const CallWatch &Output);
+  void on(Feed &From, const WakeFeed &Output);
+  void on(Feed &From, FeedListed &Output);
+  void on(Feed &From, FeedChanged &Output);
+  void on(Feed &From, const FeedLost &Output);
+  void on(Feed &From, const FeedRegained &Output);
+
+  void apply(ObjectKind Kind, const ObjectChange &Change);
+  void applyConfiguration(const StoredObject &Object);
+  void applyTarget(const StoredObject &Object);
+  void scheduleWork();
+  void work();
+  void registerNode();
+  void countNodes();
+
+  asio::io_context &Context;
+  const NodeSettings Settings;
+  const PlatformAdapter &Adapter;
+  RcuCell<FleetView> &View;
+  const std::function<void()> OnPublished;
+  Discovery Known;
+  std::array<std::unique_ptr<Feed>, 3> Feeds;
+  StoreChannel NodeChannel;
+  asio::steady_timer NodeTimer;
+  asio::steady_timer WorkTimer;
+  TimePoint WorkAt = TimePoint::max();
+  bool Registered = false;
+  bool TargetsListed = false;
+  std::atomic<bool> Ready{false};
+};
+
+} // namespace balsamyard
--- a/balsamyard/src/Process/MoveKeeper.cpp
+++ b/balsamyard/src/Process/MoveKeeper.cpp
@@ -1,6 +1,6 @@
 #include "balsamyard/src/Process/MoveKeeper.h"
 
-#include "balsamyard/src/Process/Log.h"
+#include "balsamyard/src/Core/Log.h"
 #include "balsamyard/src/Version/SharePlan.h"
 #include "balsamyard/src/Version/internal/JsonObject.h"
 
--- /dev/null
+++ b/balsamyard/src/Process/PlatformAdapter.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "balsamyard/src/Connection/TargetProtocol.h"
+#include "balsamyard/src/Core/Error.h"
+#include "balsamyard/src/Process/ObjectFeed.h"
+#include "balsamyard/src/Version/Configuration.h"
+
+#include <functional>
+#include <string>
+#include <string_view>
+
+namespace balsamyard {
+
+/// \brief Kinds of objects in the platform's store.
+enum class ObjectKind : std::uint8_t {
+  Configuration,
+  Targets,
+  Evacuations, ///< One object for each evacuated failure domain.
+  Moves,       ///< Orders to move a service to another version.
+  Nodes,       ///< One object for each node of the system.
+};
+
+/// \returns the name of a kind in logs.
+std::string_view name(ObjectKind Kind);
+
+/// \brief What a target announces of itself.
+struct TargetAnnouncement {
+  TargetInfo Info; ///< Region and distance are filled in by the receiver.
+  bool Leaving = false;
+  Duration ColdLeft{};
+};
+
+/// \brief How the calls of a deployment's platform are written and read. An
+/// adapter fills in every member; none of them decides anything.
+struct PlatformAdapter {
+  HeaderNames Headers;
+  std::string ReadinessPath;
+
+  std::function<std::string(ObjectKind, std::string_view After)> ListCall;
+  std::function<std::string(ObjectKind)> StaleListCall;
+  std::function<std::string(ObjectKind, StoreRevision, Duration Wait)>
+      WatchCall;
+  std::function<std::string(ObjectKind, std::string_view Name,
+                            const nlohmann::json &Content)>
+      CreateCall;
+
+  std::function<FeedInput(const HttpResponse &)> ReadPage;
+  std::function<FeedInput(const HttpResponse &)> ReadEvents;
+
+  /// Objects that cannot be used are errors; the others stay valid.
+  std::function<Expected<Ref<const Configuration>>(const StoredObject &)>
+      ReadConfiguration;
+  std::function<Expected<TargetAnnouncement>(const StoredObject &)> ReadTarget;
+};
+
+} // namespace balsamyard
--- a/balsamyard/src/Request/ReplicaChoice.cpp
+++ b/balsamyard/src/Request/ReplicaChoice.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cassert>
-#include <xxhash.h>
 
 namespace balsamyard {
 
@@ -41,16 +40,6 @@
 
 } // namespace
 
-Draws::Draws(std::uint64_t Seed)
-    : Engine(static_cast<std::uint32_t>(XXH3_64bits(&Seed, sizeof(Seed)))) {}
-
-std::uint32_t Draws::below(std::uint32_t Bound) {
-  assert(Bound > 0);
-  // minstd_rand yields 1 to 2^31 - 2; its high bits are the better ones.
-  const std::uint64_t Value = this->Engine() - 1;
-  return static_cast<std::uint32_t>(Value * Bound >> 31);
-}
-
 namespace {
 
 std::uint64_t latencyCost(const ServiceIndex &Index, const SlotRoute &Slot,
--- a/balsamyard/src/Request/ReplicaChoice.h
+++ b/balsamyard/src/Request/ReplicaChoice.h
@@ -1,25 +1,13 @@
 #pragma once
 
+#include "balsamyard/src/Core/Draws.h"
 #include "balsamyard/src/Version/ServiceIndex.h"
 
 #include <optional>
-#include <random>
 #include <vector>
 
 namespace balsamyard {
 
-/// \brief Random draws of one request, all from the seed that was passed in.
-class Draws {
-public:
-  explicit Draws(std::uint64_t Seed);
-
-  /// \returns a number below \p Bound, which is above 0.
-  std::uint32_t below(std::uint32_t Bound);
-
-private:
-  std::minstd_rand Engine;
-};
-
 /// \brief Set of slots of one leaf, by offset from LeafRoute::FirstSlot.
 /// Offsets from 64 on are never in the set.
 class SlotSet {
--- /dev/null
+++ b/balsamyard/src/Request/RequestRun.cpp
@@ -0,0 +1,267 @@
+#include "balsamyard/src/Request/RequestRun.h"
+
+#include "balsamyard/src/Core/Log.h"
+#include "balsamyard/src/Core/Overload.h"
+#include "balsamyard/src/Process/Metrics.h"
+
+#include <algorithm>
+
+namespace balsamyard {
+
+namespace {
+
+/// A process that has just started knows its configuration within this time.
+constexpr Duration StartRetryAfter = std::chrono::milliseconds(500);
+
+/// A full process has finished most of its requests after this time.
+constexpr Duration OverloadRetryAfter = std::chrono::milliseconds(300);
+
+/// What a request is answered with when it is not run.
+struct Rejection {
+  int Status = 0;
+  std::string_view Reason;
+  Duration RetryAfter{};
+};
+
+void reject(RequestContext &Context, ServerConnection &Caller,
+            const Rejection &Why) {
+  Context.Counters.add("requests_rejected_total",
+                       "status=\"" + std::to_string(Why.Status) + "\"");
+  logEvent(LogLevel::Info, "request-rejected",
+           {{"status", std::int64_t(Why.Status)},
+            {"detail", std::string(Why.Reason)}});
+  const bool Malformed = Why.Status == 400;
+  const bool KeepOpen = Caller.mayKeepOpen() && !Malformed;
+  Caller.answer(plainAnswer(Why.Status, Why.Reason, KeepOpen, Why.RetryAfter),
+                KeepOpen);
+}
+
+std::string_view pathOf(std::string_view Target) {
+  return Target.substr(0, Target.find('?'));
+}
+
+/// \returns how much of the time until its goal the caller has used up in
+/// earlier attempts.
+Duration usedEarlier(RouteStats &Stats, Duration CallerWaits) {
+  std::int64_t Longest =
+      Stats.LongestCallerWaitMicros.load(std::memory_order_relaxed);
+  while (CallerWaits.count() > Longest &&
+         !Stats.LongestCallerWaitMicros.compare_exchange_weak(
+             Longest, CallerWaits.count(), std::memory_order_relaxed)) {
+  }
+  return Duration(std::max<std::int64_t>(Longest - CallerWaits.count(), 0));
+}
+
+} // namespace
+
+void RequestRun::start(RequestContext &Context, ServerConnection &Caller,
+                       HttpRequest Request) {
+  const TimePoint Now = steadyNow();
+  const std::string *Host = Request.Fields.find("host");
+  const std::string_view Id = Context.Protocol.requestId(Request);
+  if (Host == nullptr || Request.Fields.count("host") != 1 || Id.empty() ||
+      !Request.Target.starts_with('/')) {
+    reject(Context, Caller, {400, "host, path or request id is missing"});
+    return;
+  }
+  Ref<const FleetView> View = Context.View.read();
+  if (!View->Config) {
+    reject(Context, Caller,
+           {503, "no configuration is known yet", StartRetryAfter});
+    return;
+  }
+  const std::ptrdiff_t At =
+      View->Config->match(*Host, pathOf(Request.Target));
+  if (At < 0) {
+    reject(Context, Caller, {404, "no route matches"});
+    return;
+  }
+  if (Context.InFlight.load(std::memory_order_relaxed) >=
+      MaxRequestsInFlight) {
+    reject(Context, Caller, {503, "too many requests", OverloadRetryAfter});
+    return;
+  }
+  const Route &Matched = View->Config->Routes[static_cast<std::size_t>(At)];
+  RouteStats &Stats = *View->Stats[static_cast<std::size_t>(At)];
+  const Duration CallerWaits =
+      Context.Protocol.timeLeft(Request).value_or(Matched.Timeout);
+  ScatterInput Input;
+  Input.RouteAt = static_cast<std::size_t>(At);
+  Input.Deadline = Now + std::min(CallerWaits, Matched.Timeout);
+  Input.GoalAt = Now + Matched.LatencyGoal - CallerTravel -
+                 usedEarlier(Stats, CallerWaits);
+  Input.Seed = Context.NextSeed++;
+  Input.View = std::move(View);
+  const auto Run = makeRef<RequestRun>(Context, Caller, std::move(Request),
+                                       std::move(Input));
+  Context.InFlight.fetch_add(1, std::memory_order_relaxed);
+  Caller.Attached = Run.get();
+  // Released when the request ends.
+  intrusive_ptr_add_ref(Run.get());
+  Run->handle(ScatterStarted{});
+}
+
+RequestRun::RequestRun(RequestContext &Context, ServerConnection &Caller,
+                       HttpRequest Received, ScatterInput Input)
+    : Context(Context), Caller(&Caller), Request(std::move(Received)),
+      RequestId(Context.Protocol.requestId(this->Request)),
+      SharedPart(Context.Protocol.sharedPart(this->Request)),
+      Decisions(std::move(Input)), Timer(Context.Io), Arrived(steadyNow()) {}
+
+void RequestRun::callerGone(ServerConnection &Caller) {
+  const Ref<RequestRun> Run(static_cast<RequestRun *>(Caller.Attached));
+  if (!Run)
+    return;
+  logEvent(LogLevel::Info, "caller-left",
+           {{"request", Run->RequestId},
+            {"age", steadyNow() - Run->Arrived}});
+  Run->Context.Counters.add("requests_abandoned_total", "");
+  for (const Ref<TargetCall> &Call : Run->Calls)
+    Run->Context.Channels.of(*Call->Target).abort(*Call);
+  Run->release();
+}
+
+void RequestRun::release() {
+  if (this->Released)
+    return;
+  this->Released = true;
+  this->Timer.cancel();
+  for (const Ref<TargetCall> &Call : this->Calls)
+    Call->detach();
+  this->Caller->Attached = nullptr;
+  this->Context.InFlight.fetch_sub(1, std::memory_order_relaxed);
+  intrusive_ptr_release(this);
+}
+
+void RequestRun::handle(ScatterEvent Event) {
+  const Ref<RequestRun> Self(this);
+  ScatterEffects Effects;
+  this->Decisions.handle(std::move(Event), steadyNow(), Effects);
+  this->perform(Effects);
+}
+
+void RequestRun::perform(const ScatterEffects &Effects) {
+  for (const ScatterEffect &Effect : Effects)
+    if (!this->Released)
+      std::visit([this](const auto &What) { this->on(What); }, Effect);
+}
+
+void RequestRun::on(const SubmitAttempt &Effect) {
+  auto Call = makeRef<TargetCall>();
+  Call->Target = Ref<TargetState>(&this->Decisions.targetOf(Effect.Attempt));
+  const ScatterInput &Input = this->Decisions.input();
+  Call->Stats = Input.View->Stats[Input.RouteAt];
+  Call->Method = this->Request.Method;
+  Call->Deadline = Input.Deadline;
+  const Ref<RequestRun> Self(this);
+  // A call that waits for a connection belongs to its request, so the request
+  // is there when the message is made.
+  Call->MakeMessage = [this, Target = Call->Target](TimePoint Now) {
+    return this->Context.Protocol.message(
+        this->SharedPart, this->Request.Body, Target->Info,
+        this->Decisions.input().Deadline - Now);
+  };
+  Call->OnSent = [Self, Attempt = Effect.Attempt] {
+    Self->handle(AttemptSent{Attempt});
+  };
+  Call->OnEnd = [Self, Attempt = Effect.Attempt](Expected<HttpResponse> Result,
+                                                 bool Sent) {
+    Self->onEnd(Attempt, std::move(Result), Sent);
+  };
+  // Attempts are submitted in the order of their numbers.
+  this->Calls.push_back(Call);
+  this->Context.Channels.of(*Call->Target).submit(Call);
+}
+
+void RequestRun::onEnd(AttemptIndex Attempt, Expected<HttpResponse> Result,
+                       bool Sent) {
+  if (Result) {
+    if (std::optional<TargetAnswer> Answer =
+            this->Context.Protocol.read(std::move(*Result), this->RequestId)) {
+      this->handle(AttemptAnswered{Attempt, std::move(*Answer)});
+      return;
+    }
+    this->Context.Counters.add("target_answers_unusable_total", "");
+  }
+  this->handle(AttemptEnded{Attempt, Sent ? AttemptFailure::Broken
+                                          : AttemptFailure::NotSent});
+}
+
+void RequestRun::on(const WithdrawAttempt &Effect) {
+  TargetCall &Call = *this->Calls[Effect.Attempt];
+  this->Context.Channels.of(*Call.Target).withdraw(Call);
+}
+
+void RequestRun::on(const AttemptLate &Effect) {
+  this->Calls[Effect.Attempt]->markLate();
+}
+
+void RequestRun::on(const WakeScatter &Effect) {
+  if (Effect.At == this->WakeAt)
+    return;
+  this->WakeAt = Effect.At;
+  const Ref<RequestRun> Self(this);
+  this->Timer.expires_at(Effect.At);
+  this->Timer.async_wait([Self](const asio::error_code &Cancelled) {
+    if (Cancelled || Self->Released)
+      return;
+    Self->WakeAt = {};
+    Self->handle(ScatterTimeReached{});
+  });
+}
+
+void RequestRun::on(const ScatterFinished &) {
+  const CallerAnswer Answer = this->Decisions.takeOutcome();
+  this->log(Answer, steadyNow());
+  const bool KeepOpen = this->Caller->mayKeepOpen();
+  std::string Message = this->Context.Protocol.answer(
+      Answer, KeepOpen, this->Request.Method != "HEAD");
+  const Ref<ServerConnection> Connection = this->Caller;
+  this->release();
+  Connection->answer(std::move(Message), KeepOpen);
+}
+
+void RequestRun::log(const CallerAnswer &Answer, TimePoint Now) const {
+  const ScatterCounts &Counts = this->Decisions.counts();
+  const auto [Status, Detail] = std::visit(
+      Overload{[](const MergedAnswer &) {
+                 return std::pair<int, std::string_view>(200, "merged");
+               },
+               [](const ForwardedAnswer &Forwarded) {
+                 return std::pair<int, std::string_view>(
+                     Forwarded.Response.Status, "forwarded");
+               },
+               [](const NotExecutedAnswer &Refused) {
+                 return std::pair<int, std::string_view>(503, Refused.Reason);
+               },
+               [](const FailedAnswer &Failed) {
+                 return std::pair<int, std::string_view>(Failed.Status,
+                                                         Failed.Reason);
+               }},
+      Answer);
+  const Route &Matched = this->Decisions.route();
+  const Duration Age = Now - this->Arrived;
+  Metrics &Metric = this->Context.Counters;
+  const std::string Labels = "route=\"" + Matched.Name.Text + "\"";
+  Metric.observe("request_seconds", Labels, Age);
+  Metric.add("requests_total",
+             Labels + ",status=\"" + std::to_string(Status) + "\"");
+  logEvent(LogLevel::Info, "request-ended",
+           {{"request", this->RequestId},
+            {"route", Matched.Name.Text},
+            {"config", static_cast<std::int64_t>(
+                           this->Decisions.input().View->Config->Version)},
+            {"status", std::int64_t(Status)},
+            {"detail", std::string(Detail)},
+            {"time", Age},
+            {"goal_in", this->Decisions.input().GoalAt - Now},
+            {"shards", std::int64_t(Counts.Shards)},
+            {"answered", std::int64_t(Counts.Answered)},
+            {"hedges", std::int64_t(Counts.Hedges)},
+            {"hedges_won", std::int64_t(Counts.HedgesWon)},
+            {"retries", std::int64_t(Counts.Retries)},
+            {"denied", std::int64_t(Counts.Denied)},
+            {"no_target", std::int64_t(Counts.NoTarget)}});
+}
+
+} // namespace balsamyard
--- /dev/null
+++ b/balsamyard/src/Request/Scatter.cpp
@@ -0,0 +1,379 @@
+#include "balsamyard/src/Request/Scatter.h"
+
+#include "balsamyard/src/Core/Overload.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace balsamyard {
+
+namespace {
+
+constexpr std::size_t RecordBytes = 16;
+
+/// Below this, timer resolution causes more hedges than slow targets do.
+constexpr Duration MinHedgeDelay = std::chrono::milliseconds(3);
+
+/// Late attempts are looked for at this interval at least; a wake-up costs
+/// processor time.
+constexpr Duration MinCheckInterval = std::chrono::milliseconds(4);
+
+/// A hedge that was not possible is tried again at this interval, since budget
+/// and targets come back.
+constexpr Duration HedgeRetryInterval = std::chrono::milliseconds(20);
+
+/// An attempt that is still queued for a connection after this time moves to
+/// another target at no cost.
+constexpr Duration QueuePatience = std::chrono::milliseconds(15);
+
+/// Spreads consecutive requests evenly over the unit interval.
+constexpr double GoldenRatio = 0.6180339887498949;
+
+} // namespace
+
+bool promisesNotExecuted(int Status) {
+  return Status == 408 || Status == 421 || Status == 429 || Status == 503;
+}
+
+std::string mergeRecords(const std::vector<std::string_view> &Parts,
+                         std::uint32_t Count) {
+  std::vector<std::string_view> Records;
+  for (std::string_view Part : Parts)
+    for (; Part.size() >= RecordBytes; Part.remove_prefix(RecordBytes))
+      Records.push_back(Part.substr(0, RecordBytes));
+  const std::size_t Kept = std::min<std::size_t>(Count, Records.size());
+  std::partial_sort(Records.begin(),
+                    Records.begin() + static_cast<std::ptrdiff_t>(Kept),
+                    Records.end(), std::greater<>());
+  std::string Result;
+  Result.reserve(Kept * RecordBytes);
+  for (std::size_t Index = 0; Index < Kept; ++Index)
+    Result.append(Records[Index]);
+  return Result;
+}
+
+Scatter::Scatter(ScatterInput Given)
+    : Input(std::move(Given)), Stats(*this->Input.View->Stats[Input.RouteAt]),
+      Random(this->Input.Seed) {
+  std::visit(Overload{[this](const SplitDestination &Split) {
+                        this->Shards.resize(1);
+                        this->Shards[0].Service = this->chooseService(Split);
+                      },
+                      [this](const ShardedDestination &Plan) {
+                        this->Sharded = &Plan;
+                        this->Shards.resize(Plan.Shards.size());
+                        for (std::size_t At = 0; At < Plan.Shards.size(); ++At)
+                          this->Shards[At].Service = Plan.Shards[At];
+                      }},
+             this->route().To);
+  this->OpenShards = static_cast<std::uint32_t>(this->Shards.size());
+  this->Counts.Shards = this->OpenShards;
+}
+
+ServiceNumber Scatter::chooseService(const SplitDestination &Split) const {
+  double Total = 0;
+  for (const WeightedService &Part : Split.Services)
+    Total += Part.Weight;
+  const double Step = static_cast<double>(this->Stats.Requests.load(
+                          std::memory_order_relaxed)) *
+                      GoldenRatio;
+  double Point = (Step - std::floor(Step)) * Total;
+  for (const WeightedService &Part : Split.Services) {
+    if (Point < Part.Weight)
+      return Part.Service;
+    Point -= Part.Weight;
+  }
+  return Split.Services.back().Service;
+}
+
+void Scatter::handle(ScatterEvent Event, TimePoint Now,
+                     ScatterEffects &Effects) {
+  if (this->Finished)
+    return;
+  std::visit([&](auto &Alternative) { this->on(Alternative, Now, Effects); },
+             Event);
+  if (!this->Finished)
+    this->checkEnd(Now, Effects);
+  if (!this->Finished && !std::holds_alternative<AttemptSent>(Event))
+    this->scheduleWake(Now, Effects);
+}
+
+void Scatter::on(const ScatterStarted &, TimePoint Now,
+                 ScatterEffects &Effects) {
+  this->Stats.Requests.fetch_add(1, std::memory_order_relaxed);
+  for (std::uint32_t At = 0; At < this->Shards.size(); ++At) {
+    Shard &Part = this->Shards[At];
+    this->Input.View->Services[Part.Service].Budget->countRequest(Now);
+    if (!this->submit(At, false, Now, Effects)) {
+      ++this->Counts.NoTarget;
+      Part.GivenUp = true;
+      --this->OpenShards;
+    }
+  }
+}
+
+bool Scatter::submit(std::uint32_t ShardAt, bool Hedge, TimePoint Now,
+                     ScatterEffects &Effects) {
+  Shard &Part = this->Shards[ShardAt];
+  if (Part.SentCount + Part.QueuedCount >= this->route().MaxTargets)
+    return false;
+  const FleetView &View = *this->Input.View;
+  const ServiceEntry &Service = View.Services[Part.Service];
+  const ChoiceRules Rules{this->Stats.Median.value(),
+                          View.coldInterval(Part.Service),
+                          &this->route().Regions};
+  const TargetChoice Choice =
+      chooseTarget(Service, Rules, Part.Tried, Now, this->Random);
+  if (Choice.Target == nullptr)
+    return false;
+  // A hedge that would come after the goal is of no use while the first
+  // attempt may still answer.
+  if (Hedge && Now < this->Input.GoalAt &&
+      Now + Choice.Expected > this->Input.GoalAt)
+    return false;
+  const bool Extra = Part.SentCount > 0;
+  if (Extra && !Service.Budget->trySpend(View.Shares.Retry, Now)) {
+    ++this->Counts.Denied;
+    return false;
+  }
+  Part.Tried.push_back(Choice.Target);
+  ++Part.OpenCount;
+  ++Part.QueuedCount;
+  Attempt Next;
+  Next.Target = Ref<TargetState>(Choice.Target);
+  Next.Shard = ShardAt;
+  Next.Extra = Extra;
+  Next.Hedge = Hedge;
+  Next.At = Now;
+  this->Attempts.push_back(std::move(Next));
+  if (Extra)
+    ++(Hedge ? this->Counts.Hedges : this->Counts.Retries);
+  Effects.push_back(
+      SubmitAttempt{static_cast<AttemptIndex>(this->Attempts.size() - 1)});
+  return true;
+}
+
+void Scatter::on(const AttemptSent &Event, TimePoint Now, ScatterEffects &) {
+  Attempt &Sent = this->Attempts[Event.Attempt];
+  Sent.Current = State::Sent;
+  Sent.At = Now;
+  Shard &Part = this->Shards[Sent.Shard];
+  ++Part.SentCount;
+  --Part.QueuedCount;
+  ++this->MayHaveRun;
+}
+
+void Scatter::closeAttempt(Attempt &Closed) {
+  Shard &Part = this->Shards[Closed.Shard];
+  --Part.OpenCount;
+  if (Closed.Current == State::Queued)
+    --Part.QueuedCount;
+  Closed.Current = State::Ended;
+}
+
+bool Scatter::mayRepeat(const Shard &Part, AnswerKind Kind) const {
+  return Part.SentCount + Part.QueuedCount < this->route().MaxTargets &&
+         (this->route().Idempotent || Kind == AnswerKind::NotExecuted);
+}
+
+void Scatter::on(AttemptAnswered &Event, TimePoint Now,
+                 ScatterEffects &Effects) {
+  Attempt &Answered = this->Attempts[Event.Attempt];
+  if (Answered.Current == State::Ended)
+    return;
+  this->closeAttempt(Answered);
+  if (Event.Answer.Kind == AnswerKind::NotExecuted)
+    --this->MayHaveRun;
+  Shard &Part = this->Shards[Answered.Shard];
+  if (Part.Answered || Part.GivenUp)
+    return;
+  switch (Event.Answer.Kind) {
+  case AnswerKind::Complete:
+    Part.Answered = true;
+    Part.Answer = std::move(Event.Answer);
+    --this->OpenShards;
+    ++this->Counts.Answered;
+    if (Answered.Hedge)
+      ++this->Counts.HedgesWon;
+    return;
+  case AnswerKind::NotExecuted:
+    this->SawNotExecuted = true;
+    break;
+  case AnswerKind::Failed:
+    this->LastFailure = std::move(Event.Answer.Response);
+    break;
+  }
+  this->repeatOrGiveUp(Answered.Shard, this->mayRepeat(Part, Event.Answer.Kind),
+                       Now, Effects);
+}
+
+void Scatter::on(const AttemptEnded &Event, TimePoint Now,
+                 ScatterEffects &Effects) {
+  Attempt &Ended = this->Attempts[Event.Attempt];
+  if (Ended.Current == State::Ended)
+    return;
+  this->closeAttempt(Ended);
+  Shard &Part = this->Shards[Ended.Shard];
+  if (Part.Answered || Part.GivenUp)
+    return;
+  const bool Repeatable =
+      Event.Failure == AttemptFailure::NotSent ||
+      this->mayRepeat(Part, AnswerKind::Failed);
+  this->repeatOrGiveUp(Ended.Shard, Repeatable, Now, Effects);
+}
+
+void Scatter::repeatOrGiveUp(std::uint32_t ShardAt, bool Repeatable,
+                             TimePoint Now, ScatterEffects &Effects) {
+  Shard &Part = this->Shards[ShardAt];
+  if (Repeatable && this->submit(ShardAt, false, Now, Effects))
+    return;
+  if (Part.OpenCount == 0) {
+    Part.GivenUp = true;
+    --this->OpenShards;
+  }
+}
+
+Duration Scatter::hedgeDelay() const {
+  return std::max(this->Stats.Late.value(), MinHedgeDelay);
+}
+
+void Scatter::on(const ScatterTimeReached &, TimePoint Now,
+                 ScatterEffects &Effects) {
+  this->checkLate(Now, Effects);
+}
+
+void Scatter::checkLate(TimePoint Now, ScatterEffects &Effects) {
+  const Duration Delay = this->hedgeDelay();
+  // submit() appends attempts, so the bound is taken first.
+  const auto Count = static_cast<AttemptIndex>(this->Attempts.size());
+  for (AttemptIndex At = 0; At < Count; ++At) {
+    const std::uint32_t ShardAt = this->Attempts[At].Shard;
+    Shard &Part = this->Shards[ShardAt];
+    if (this->Attempts[At].Current == State::Ended || Part.Answered)
+      continue;
+    const Duration Age = Now - this->Attempts[At].At;
+    if (this->Attempts[At].Current == State::Queued) {
+      if (Age >= QueuePatience && Part.OpenCount == 1)
+        this->moveQueued(At, Now, Effects);
+      continue;
+    }
+    if (Age < Delay)
+      continue;
+    if (!this->Attempts[At].Late) {
+      this->Attempts[At].Late = true;
+      Effects.push_back(AttemptLate{At});
+    }
+    if (this->route().Idempotent && Part.OpenCount == 1)
+      this->submit(ShardAt, true, Now, Effects);
+  }
+}
+
+void Scatter::moveQueued(AttemptIndex At, TimePoint Now,
+                         ScatterEffects &Effects) {
+  // Nothing was sent, so the request may go elsewhere instead.
+  const std::uint32_t ShardAt = this->Attempts[At].Shard;
+  --this->Shards[ShardAt].QueuedCount;
+  const bool Moved = this->submit(ShardAt, false, Now, Effects);
+  ++this->Shards[ShardAt].QueuedCount;
+  if (!Moved)
+    return;
+  this->closeAttempt(this->Attempts[At]);
+  Effects.push_back(WithdrawAttempt{At});
+}
+
+bool Scatter::coverageMet() const {
+  // A share of 0.89 of 20 shards is 17.8, so 18 of them are needed.
+  constexpr double Rounding = 1e-9;
+  return this->Counts.Answered > 0 &&
+         this->Counts.Answered + Rounding >=
+             this->Sharded->MinCoverage *
+                 static_cast<double>(this->Shards.size());
+}
+
+void Scatter::checkEnd(TimePoint Now, ScatterEffects &Effects) {
+  const bool TimeOver = Now >= this->Input.Deadline;
+  if (!this->isSharded()) {
+    if (this->Shards[0].Answered)
+      this->finish(
+          ForwardedAnswer{std::move(this->Shards[0].Answer.Response)}, Effects);
+    else if (this->OpenShards == 0 || TimeOver)
+      this->finish(this->failure(TimeOver), Effects);
+    return;
+  }
+  const bool Met = this->coverageMet();
+  if (Met && (this->OpenShards == 0 || TimeOver || Now >= this->Input.GoalAt)) {
+    MergedAnswer Merged;
+    std::vector<std::string_view> Parts;
+    for (Shard &Part : this->Shards) {
+      if (!Part.Answered)
+        continue;
+      Merged.Receipts.push_back(std::move(Part.Answer.Receipt));
+      Parts.push_back(Part.Answer.Response.Body);
+    }
+    Merged.MissingParts = this->Counts.Shards - this->Counts.Answered;
+    Merged.Records = mergeRecords(Parts, this->Sharded->TopRecords);
+    this->finish(std::move(Merged), Effects);
+    return;
+  }
+  const double Reachable =
+      static_cast<double>(this->Counts.Answered + this->OpenShards);
+  const bool Hopeless =
+      Reachable + 1e-9 < this->Sharded->MinCoverage *
+                             static_cast<double>(this->Shards.size()) ||
+      Reachable == 0;
+  if (TimeOver || Hopeless)
+    this->finish(this->failure(TimeOver), Effects);
+}
+
+CallerAnswer Scatter::failure(bool TimeOver) const {
+  if (this->MayHaveRun == 0)
+    return NotExecutedAnswer{this->SawNotExecuted ? FullRetryAfter
+                                                  : NoTargetRetryAfter,
+                             this->SawNotExecuted
+                                 ? "every target rejected the request"
+                                 : "no target is usable"};
+  if (TimeOver)
+    return FailedAnswer{504, "the time of the request is over"};
+  // A promise of the target's own that came without its statement is not true.
+  if (!this->isSharded() && this->LastFailure &&
+      !promisesNotExecuted(this->LastFailure->Status))
+    return ForwardedAnswer{*this->LastFailure};
+  return FailedAnswer{502, "targets failed"};
+}
+
+void Scatter::scheduleWake(TimePoint Now, ScatterEffects &Effects) {
+  TimePoint Next = this->Input.Deadline;
+  if (this->isSharded() && Now < this->Input.GoalAt)
+    Next = std::min(Next, this->Input.GoalAt);
+  const Duration Delay = this->hedgeDelay();
+  for (const Attempt &Open : this->Attempts) {
+    const Shard &Part = this->Shards[Open.Shard];
+    if (Open.Current == State::Ended || Part.Answered)
+      continue;
+    TimePoint Due = Open.At + Delay;
+    if (Open.Current == State::Queued)
+      Due = std::max(Open.At + QueuePatience, Now + MinCheckInterval);
+    else if (Open.Late) {
+      if (Part.OpenCount > 1 || !this->mayRepeat(Part, AnswerKind::Failed))
+        continue;
+      Due = Now + HedgeRetryInterval;
+    }
+    Next = std::min(Next, std::max(Due, Now + MinCheckInterval));
+  }
+  Effects.push_back(WakeScatter{Next});
+}
+
+void Scatter::finish(CallerAnswer Result, ScatterEffects &Effects) {
+  this->Finished = true;
+  this->Outcome = std::move(Result);
+  for (AttemptIndex At = 0; At < this->Attempts.size(); ++At)
+    if (this->Attempts[At].Current == State::Queued) {
+      this->closeAttempt(this->Attempts[At]);
+      Effects.push_back(WithdrawAttempt{At});
+    }
+  Effects.push_back(ScatterFinished{});
+}
+
+CallerAnswer Scatter::takeOutcome() { return std::move(this->Outcome); }
+
+} // namespace balsamyard
--- /dev/null
+++ b/balsamyard/src/Request/Scatter.h
@@ -0,0 +1,205 @@
+#pragma once
+
+#include "balsamyard/src/Core/Answer.h"
+#include "balsamyard/src/Request/TargetChoice.h"
+#include "balsamyard/src/Version/FleetView.h"
+
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace balsamyard {
+
+/// \brief One request of a caller, as far as the decisions need it.
+struct ScatterInput {
+  Ref<const FleetView> View;
+  std::size_t RouteAt = 0; ///< Position in Configuration::Routes.
+  TimePoint GoalAt{};      ///< Until then an answer has its full value.
+  TimePoint Deadline{};    ///< The final answer goes out by then.
+  std::uint64_t Seed = 0;
+};
+
+/// \brief Position of an attempt in the request.
+using AttemptIndex = std::uint32_t;
+
+/// \brief Why an attempt has no answer.
+enum class AttemptFailure : std::uint8_t {
+  NotSent, ///< No byte reached a connection.
+  Broken,  ///< The request was sent, so it may have run.
+};
+
+/// \brief The request starts.
+struct ScatterStarted {};
+
+/// \brief The request was written to a connection of the target.
+struct AttemptSent {
+  AttemptIndex Attempt = 0;
+};
+
+/// \brief The target answered.
+struct AttemptAnswered {
+  AttemptIndex Attempt = 0;
+  TargetAnswer Answer;
+};
+
+/// \brief There will be no answer.
+struct AttemptEnded {
+  AttemptIndex Attempt = 0;
+  AttemptFailure Failure = AttemptFailure::Broken;
+};
+
+/// \brief The time of the last WakeScatter was reached.
+struct ScatterTimeReached {};
+
+using ScatterEvent = std::variant<ScatterStarted, AttemptSent, AttemptAnswered,
+                                  AttemptEnded, ScatterTimeReached>;
+
+/// \brief Send the request to the target of this attempt.
+struct SubmitAttempt {
+  AttemptIndex Attempt = 0;
+};
+
+/// \brief The attempt is not needed any more; it was not sent yet.
+struct WithdrawAttempt {
+  AttemptIndex Attempt = 0;
+};
+
+/// \brief The attempt is late; counts against its target until it ends.
+struct AttemptLate {
+  AttemptIndex Attempt = 0;
+};
+
+/// \brief Report ScatterTimeReached at this time; replaces the former one.
+struct WakeScatter {
+  TimePoint At{};
+};
+
+/// \brief The outcome is known. No effect follows.
+struct ScatterFinished {};
+
+using ScatterEffect = std::variant<SubmitAttempt, WithdrawAttempt, AttemptLate,
+                                   WakeScatter, ScatterFinished>;
+using ScatterEffects = std::vector<ScatterEffect>;
+
+/// \brief What happened to one request, for its log line and the metrics.
+struct ScatterCounts {
+  std::uint32_t Shards = 0;
+  std::uint32_t Answered = 0;
+  std::uint32_t Hedges = 0;
+  std::uint32_t HedgesWon = 0;
+  std::uint32_t Retries = 0;
+  std::uint32_t Denied = 0;   ///< Extra requests that the budget refused.
+  std::uint32_t NoTarget = 0; ///< Shards that had no usable target.
+};
+
+/// \brief Decides about one request: which targets are asked, what is sent
+/// again, which answers count, and when the final answer goes out. A request to
+/// a single service is one with a single shard.
+///
+/// \code
+/// Scatter Request(Input);
+/// Request.handle(ScatterStarted{}, Now, Effects);
+/// \endcode
+class Scatter {
+public:
+  explicit Scatter(ScatterInput Input);
+
+  /// \brief Applies one event and appends what is to be done to \p Effects.
+  void handle(ScatterEvent Event, TimePoint Now, ScatterEffects &Effects);
+
+  bool finished() const { return this->Finished; }
+
+  /// \returns the outcome of a finished request. Call once.
+  CallerAnswer takeOutcome();
+
+  TargetState &targetOf(AttemptIndex Attempt) const {
+    return *this->Attempts[Attempt].Target;
+  }
+
+  const ScatterCounts &counts() const { return this->Counts; }
+  const ScatterInput &input() const { return this->Input; }
+  const Route &route() const {
+    return this->Input.View->Config->Routes[this->Input.RouteAt];
+  }
+
+  /// \brief A request that found no target may come back after this time:
+  /// targets are checked again within it.
+  static constexpr Duration NoTargetRetryAfter = std::chrono::milliseconds(300);
+
+  /// \brief A request that targets rejected may come back after this time: a
+  /// full queue needs about as long to shrink.
+  static constexpr Duration FullRetryAfter = std::chrono::milliseconds(200);
+
+private:
+  enum class State : std::uint8_t { Queued, Sent, Ended };
+
+  struct Attempt {
+    Ref<TargetState> Target;
+    std::uint32_t Shard = 0;
+    State Current = State::Queued;
+    bool Extra = false; ///< Its arrival counts against the budget.
+    bool Hedge = false;
+    bool Late = false;
+    TimePoint At{}; ///< Since it was submitted or, later, sent.
+  };
+
+  struct Shard {
+    ServiceNumber Service = 0;
+    std::vector<const TargetState *> Tried;
+    std::uint32_t SentCount = 0;   ///< Attempts that may have arrived.
+    std::uint32_t QueuedCount = 0; ///< Attempts that wait for a connection.
+    std::uint32_t OpenCount = 0;
+    bool Answered = false;
+    bool GivenUp = false;
+    TargetAnswer Answer;
+  };
+
+  void on(const ScatterStarted &Event, TimePoint Now, ScatterEffects &Effects);
+  void on(const AttemptSent &Event, TimePoint Now, ScatterEffects &Effects);
+  void on(AttemptAnswered &Event, TimePoint Now, ScatterEffects &Effects);
+  void on(const AttemptEnded &Event, TimePoint Now, ScatterEffects &Effects);
+  void on(const ScatterTimeReached &Event, TimePoint Now,
+          ScatterEffects &Effects);
+
+  bool submit(std::uint32_t ShardAt, bool Hedge, TimePoint Now,
+              ScatterEffects &Effects);
+  bool mayRepeat(const Shard &Part, AnswerKind Kind) const;
+  void repeatOrGiveUp(std::uint32_t ShardAt, bool Repeatable, TimePoint Now,
+                      ScatterEffects &Effects);
+  void checkLate(TimePoint Now, ScatterEffects &Effects);
+  void moveQueued(AttemptIndex At, TimePoint Now, ScatterEffects &Effects);
+  void closeAttempt(Attempt &Closed);
+  void checkEnd(TimePoint Now, ScatterEffects &Effects);
+  void scheduleWake(TimePoint Now, ScatterEffects &Effects);
+  void finish(CallerAnswer Result, ScatterEffects &Effects);
+  CallerAnswer failure(bool TimeOver) const;
+  bool coverageMet() const;
+  bool isSharded() const { return this->Sharded != nullptr; }
+  Duration hedgeDelay() const;
+  ServiceNumber chooseService(const SplitDestination &Split) const;
+
+  ScatterInput Input;
+  const ShardedDestination *Sharded = nullptr;
+  RouteStats &Stats;
+  Draws Random;
+  std::vector<Shard> Shards;
+  std::vector<Attempt> Attempts;
+  std::uint32_t OpenShards = 0;
+  std::uint32_t MayHaveRun = 0; ///< Attempts that may have run.
+  bool SawNotExecuted = false;
+  bool Finished = false;
+  std::optional<HttpResponse> LastFailure; ///< Of a target that ran it.
+  CallerAnswer Outcome;
+  ScatterCounts Counts;
+};
+
+/// \returns whether a status tells the caller that its request has not run.
+bool promisesNotExecuted(int Status);
+
+/// \returns the greatest \p Count records of 16 bytes in \p Parts, greatest
+/// first, compared byte by byte. A shorter rest of a part is no record.
+std::string mergeRecords(const std::vector<std::string_view> &Parts,
+                         std::uint32_t Count);
+
+} // namespace balsamyard
--- /dev/null
+++ b/balsamyard/src/Version/Configuration.h
@@ -0,0 +1,97 @@
+#pragma once
+
+#include "balsamyard/src/Core/Names.h"
+#include "balsamyard/src/Core/RefCounted.h"
+#include "balsamyard/src/Core/Time.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+namespace balsamyard {
+
+/// \brief Position of a service in Configuration::Services.
+using ServiceNumber = std::uint32_t;
+
+/// \brief A service and its part of a split.
+struct WeightedService {
+  ServiceNumber Service = 0;
+  double Weight = 1;
+};
+
+/// \brief One service answers the whole request; several share the requests by
+/// weight.
+struct SplitDestination {
+  std::vector<WeightedService> Services;
+};
+
+/// \brief Each service holds one shard, and the answer merges all of them.
+struct ShardedDestination {
+  std::vector<ServiceNumber> Shards;
+  std::uint32_t TopRecords = 0; ///< Records of a merged answer.
+  double MinCoverage = 1;       ///< Share of the shards, 0 to 1.
+};
+
+using Destination = std::variant<SplitDestination, ShardedDestination>;
+
+/// \brief How requests to a host and a path prefix are treated.
+struct Route {
+  RouteName Name;
+  std::string Host;
+  std::string PathPrefix;
+  bool Idempotent = false;
+  Duration Timeout{};     ///< Longest time until the final answer.
+  Duration LatencyGoal{}; ///< An answer within it has its full value.
+  std::uint32_t MaxTargets = 1; ///< Targets that a request (of each shard) may reach.
+  std::uint32_t Rank = 0;       ///< 0 is the most urgent.
+  std::vector<RegionName> Regions; ///< Empty: every region may serve it.
+  Destination To;
+};
+
+/// \brief What is configured for a service, as opposed to its targets.
+struct ServiceSpec {
+  ServiceName Name;
+  std::string HealthPath = "/health";
+  std::uint32_t MaxConnections = 1; ///< Of one target, from all processes.
+  Duration WarmUp{};                ///< How long a started target is cold.
+  double ColdRequestRate = 0;       ///< Per second; what a cold target bears.
+};
+
+/// \brief Bounds of what a caller may send.
+struct CallerLimits {
+  std::size_t HeaderBytes = 64 * 1024;
+  std::size_t BodyBytes = 1024 * 1024;
+  Duration HeaderTimeout = std::chrono::seconds(10);
+  Duration IdleTimeout = std::chrono::seconds(60);
+};
+
+/// \brief One version of the configuration, immutable once it is published.
+struct Configuration : RefCounted<Configuration> {
+  ConfigVersion Version{};
+  std::vector<Route> Routes;
+  std::vector<ServiceSpec> Services;
+  CallerLimits Limits;
+
+  /// \brief Prepares match(); called once after the members were filled in.
+  void index();
+
+  /// \returns the position of a service; adds it if it is not there.
+  ServiceNumber numberOf(const ServiceName &Service);
+
+  /// \returns the position in Routes of the longest prefix of \p Path among
+  /// the routes of \p Host, or -1.
+  std::ptrdiff_t match(std::string_view Host, std::string_view Path) const;
+
+private:
+  std::map<ServiceName, ServiceNumber> Numbers;
+
+  /// Route positions by host, longest prefix first.
+  std::unordered_map<std::string, std::vector<std::size_t>> ByHost;
+};
+
+} // namespace balsamyard
--- a/scripts/packages.sh
+++ b/scripts/packages.sh
@@ -4,7 +4,7 @@
 PACKAGES=(
   g++ cmake ninja-build ccache pkg-config clang-format clang-tidy
   libasio-dev libnghttp2-dev libcpp-httplib-dev libboost-dev libboost-log-dev
-  libboost-random-dev libcxxopts-dev libexpected-dev libtomlplusplus-dev
+  libboost-random-dev libhttp-parser-dev libyaml-cpp-dev libcxxopts-dev libexpected-dev libtomlplusplus-dev
   liburcu-dev nlohmann-json3-dev libxxhash-dev catch2 gnuplot-nox
 )
 MISSING=()
--- a/tests/LogTest.cpp
+++ b/tests/LogTest.cpp
@@ -1,4 +1,4 @@
-#include "balsamyard/src/Process/Log.h"
+#include "balsamyard/src/Core/Log.h"
 
 #include <catch2/catch.hpp>
 #include <filesystem>
