Ask the store less and share the connections of each target by rank

Change: after an event the next watch of targets waits 0.3 to 0.9 s; the nodes register and are counted by a cheap read; each node prefers as many targets of a service as the sum of connections allows, by its rank, and connects to the others when it must; idle times are learned from a target that closes.

--- a/balsamyard/src/Connection/TargetChannel.cpp
+++ b/balsamyard/src/Connection/TargetChannel.cpp
@@ -94,8 +94,7 @@
     const bool IsNew = At - Entry->OpenedAt < Self->Times.FullPause;
     if (IsNew)
       Self->NextOpen = At + Self->Times.FullPause;
-    Self->onLinkLost(*Entry,
-                     At - Entry->Link->idleSince() >= Self->IdleLimit);
+    Self->onIdleClose(*Entry, At);
   });
   Entry->Link->open(this->Target->Info.Address, this->Times.OpenTimeout,
                     [Self, Entry](Expected<void> Result) {
@@ -109,6 +108,17 @@
                     });
 }
 
+void TargetChannel::onIdleClose(const LinkEntry &Entry, TimePoint Now) {
+  const Duration Idle = Now - Entry.Link->idleSince();
+  // A target that has not stated its idle time shows it by closing. One that
+  // has and closes earlier may have crashed.
+  const bool Shown = !this->IdleStated && Idle >= this->Times.MinIdleLimit;
+  if (Shown)
+    this->IdleLimit =
+        std::max(Idle - this->Times.IdleMargin, this->Times.MinIdleLimit);
+  this->onLinkLost(Entry, Shown || Idle >= this->IdleLimit);
+}
+
 void TargetChannel::remove(const LinkEntry &Entry) {
   std::erase_if(this->Links, [&](const Ref<LinkEntry> &Item) {
     return Item.get() == &Entry;
@@ -134,9 +144,11 @@
     return;
   }
   this->Protocol.readLoad(*Result, *this->Target, Now);
-  if (const std::optional<Duration> Stated = statedIdleTime(*Result))
+  if (const std::optional<Duration> Stated = statedIdleTime(*Result)) {
     this->IdleLimit =
         std::max(*Stated - this->Times.IdleMargin, *Stated / 2);
+    this->IdleStated = true;
+  }
   if (Result->Status / 100 != 2) {
     this->Target->observeFailure(Now);
     return;
@@ -280,10 +292,8 @@
     Entry->OpenedAt = Now;
     this->Links.push_back(Entry);
     Ref<TargetChannel> Self(this);
-    Link->onIdleClose([Self, Entry] {
-      Self->onLinkLost(*Entry, steadyNow() - Entry->Link->idleSince() >=
-                                   Self->IdleLimit);
-    });
+    Link->onIdleClose(
+        [Self, Entry] { Self->onIdleClose(*Entry, steadyNow()); });
   } else {
     Link->close();
   }
@@ -311,6 +321,10 @@
       this->Target->reach() != Reach::Up && Now >= this->NextProbe)
     this->probe();
 
+  const Duration KeepIdle =
+      this->Target->preferred()
+          ? this->IdleLimit
+          : std::min(this->IdleLimit, this->Times.SpareIdleLimit);
   const std::vector<Ref<LinkEntry>> Current = this->Links;
   for (const Ref<LinkEntry> &Entry : Current) {
     if (Entry->Running &&
@@ -319,7 +333,7 @@
       this->onAnswer(Entry, fail(Code::DeadlineExceeded, "no answer"));
     } else if (!Entry->Opening && !Entry->Running &&
                (this->Retired ||
-                Now - Entry->Link->idleSince() >= this->IdleLimit)) {
+                Now - Entry->Link->idleSince() >= KeepIdle)) {
       Entry->Link->close();
       this->remove(*Entry);
     }
@@ -327,7 +341,7 @@
   if (this->Retired)
     return;
   if (this->Target->reach() == Reach::Up &&
-      this->Links.size() < std::min(WarmLinks, this->MaxLinks))
+      this->Links.size() < this->WarmCount)
     this->openLink();
 }
 
@@ -368,7 +382,13 @@
         Known = makeRef<TargetChannel>(this->Context, Target, this->Protocol,
                                        Spec.HealthPath);
       const Ref<TargetChannel> Channel = Known;
-      Channel->setMaxLinks(std::max<std::size_t>(Share, 1));
+      // While the nodes are not counted, connections are opened on demand
+      // only: all nodes start at once, and a target resets what is too many.
+      if (View.Shares.NodesCounted)
+        Channel->setLinks(std::max<std::size_t>(Share, 1),
+                          Target->preferred() ? TargetChannel::WarmLinks : 0);
+      else
+        Channel->setLinks(1, 0);
       Channel->resume();
       Channel->tick(steadyNow());
     }
--- a/balsamyard/src/Connection/TargetChannel.h
+++ b/balsamyard/src/Connection/TargetChannel.h
@@ -28,13 +28,21 @@
   /// says so needs this long at most.
   Duration AnswerGrace = std::chrono::milliseconds(250);
 
-  /// Idle time of a connection whose target states none.
-  Duration IdleLimit = std::chrono::seconds(5);
+  /// Idle time of a connection whose target has stated none yet. The close of
+  /// the target is noticed when it comes.
+  Duration IdleLimit = std::chrono::seconds(30);
+
+  /// No target closes connections that were idle for a shorter time.
+  Duration MinIdleLimit = std::chrono::seconds(1);
 
   /// A connection is not used in the last part of the idle time that the
   /// target states: its close may be on the way.
   Duration IdleMargin = std::chrono::milliseconds(500);
 
+  /// Idle time of a connection to a target that is not preferred: its few
+  /// connections belong to others.
+  Duration SpareIdleLimit = std::chrono::seconds(1);
+
   /// A target that closes a new connection at once has no room for it.
   Duration FullPause = std::chrono::milliseconds(500);
 };
@@ -63,8 +71,12 @@
   /// \brief Checks deadlines, idle connections and unreachable targets.
   void tick(TimePoint Now);
 
-  /// \brief Connections that this thread may have open.
-  void setMaxLinks(std::size_t Count) { this->MaxLinks = Count; }
+  /// \brief Connections that this thread may have open, and those that it
+  /// opens in advance.
+  void setLinks(std::size_t Most, std::size_t Warm) {
+    this->MaxLinks = Most;
+    this->WarmCount = std::min(Most, Warm);
+  }
 
   /// \brief The target may get no new requests; running ones finish.
   void retire();
@@ -97,6 +109,7 @@
   void run(LinkEntry &Entry, Ref<TargetCall> Call);
   void onAnswer(const Ref<LinkEntry> &Entry, Expected<HttpResponse> Result);
   void onLinkLost(const LinkEntry &Entry, bool Expected);
+  void onIdleClose(const LinkEntry &Entry, TimePoint Now);
   void remove(const LinkEntry &Entry);
   void suspect();
   void probe();
@@ -114,6 +127,7 @@
   const std::string HealthPath;
   const ChannelTimes Times;
   std::size_t MaxLinks = 1;
+  std::size_t WarmCount = 0;
   std::vector<Ref<LinkEntry>> Links;
   CallList Waiting;
   Ref<HttpLink> ProbeLink;
@@ -122,6 +136,7 @@
   TimePoint NextOpen{};
   Duration ProbePause{};
   Duration IdleLimit;
+  bool IdleStated = false; ///< By the target, in an answer.
   bool Retired = false;
 };
 
--- a/balsamyard/src/Process/Discovery.cpp
+++ b/balsamyard/src/Process/Discovery.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <utility>
+#include <xxhash.h>
 
 namespace balsamyard {
 
@@ -17,8 +18,18 @@
 /// return.
 constexpr Duration LapsedEntryReturn = std::chrono::milliseconds(2200);
 
-/// Part of the drain time that is left for requests that are on their way.
-constexpr Duration DrainMargin = std::chrono::milliseconds(600);
+/// An entry that disappears while the store is stable belongs to a target that
+/// has left or crashed. Its connections show a crash; this short time covers a
+/// store that came back unnoticed.
+constexpr Duration StableHold = std::chrono::milliseconds(800);
+
+/// Entries lapse and come back within this time after a loss or return of the
+/// store that was noticed here.
+constexpr Duration UnstableTime = std::chrono::seconds(5);
+
+/// Part of the connections of a target that all nodes together use; the rest
+/// is for nodes that start before they are counted.
+constexpr double UsedConnections = 0.94;
 
 /// Part of the retry bounds that is used. The platform compares the extra
 /// arrivals of a window with the requests of that window or of those half a
@@ -127,10 +138,10 @@
   this->Changed = this->Changed || Former != Next;
 }
 
-Duration Discovery::withdrawalHold() const {
-  return std::min(LapsedEntryReturn,
-                  std::max(this->Settings.Bounds.DrainTime - DrainMargin,
-                           Duration::zero()));
+Duration Discovery::withdrawalHold(TimePoint Now) const {
+  const bool Unstable =
+      this->UnstableAt && Now - *this->UnstableAt < UnstableTime;
+  return Unstable ? LapsedEntryReturn : StableHold;
 }
 
 void Discovery::withdraw(const TargetId &Id, TimePoint Now) {
@@ -139,7 +150,7 @@
     return;
   logEvent(LogLevel::Info, "target-withdrawn",
            {{"target", Id.Text}, {"leaving", Found->second.Leaving}});
-  Found->second.WithdrawnUntil = Now + this->withdrawalHold();
+  Found->second.WithdrawnUntil = Now + this->withdrawalHold(Now);
 }
 
 void Discovery::keepOnly(const std::set<TargetId> &Listed, TimePoint Now) {
@@ -173,10 +184,15 @@
     this->evacuate(Domain);
 }
 
-void Discovery::setNodes(std::uint32_t Count) {
-  const std::uint32_t Next = std::max<std::uint32_t>(Count, 1);
-  if (Next == this->Nodes)
+void Discovery::setNodes(const std::set<NodeName> &Listed) {
+  const auto Next =
+      std::max<std::uint32_t>(static_cast<std::uint32_t>(Listed.size()), 1);
+  const auto Place = static_cast<std::uint32_t>(std::distance(
+      Listed.begin(), Listed.lower_bound(this->Settings.Node)));
+  if (this->NodesCounted && Next == this->Nodes && Place == this->Rank)
     return;
+  this->NodesCounted = true;
+  this->Rank = Place;
   logEvent(LogLevel::Info, "nodes-counted",
            {{"nodes", std::int64_t(Next)},
             {"former", std::int64_t(this->Nodes)}});
@@ -205,10 +221,39 @@
   }
 }
 
+void Discovery::choosePreferred(
+    const ServiceSpec &Spec, std::vector<Ref<TargetState>> &Targets) const {
+  const std::size_t Count = Targets.size();
+  const auto Wanted = static_cast<std::size_t>(
+      UsedConnections * Spec.MaxConnections * static_cast<double>(Count) /
+      this->Nodes);
+  // Every node has the same order of ids and takes its place in it by its
+  // rank, so that each target is preferred by about as many nodes.
+  const std::size_t Turn =
+      this->Rank + XXH3_64bits(Spec.Name.Text.data(), Spec.Name.Text.size()) %
+                       std::max<std::size_t>(Count, 1);
+  const auto Nearer = [](const Ref<TargetState> &Left,
+                         const Ref<TargetState> &Right) {
+    return Left->Info.Far < Right->Info.Far;
+  };
+  std::stable_sort(Targets.begin(), Targets.end(), Nearer);
+  for (auto First = Targets.begin(); First != Targets.end();) {
+    const auto Last = std::upper_bound(First, Targets.end(), *First, Nearer);
+    std::rotate(First,
+                First + static_cast<std::ptrdiff_t>(
+                            Turn % static_cast<std::size_t>(Last - First)),
+                Last);
+    First = Last;
+  }
+  for (std::size_t At = 0; At < Count; ++At)
+    Targets[At]->setPreferred(At < std::max<std::size_t>(Wanted, 1));
+}
+
 Ref<const FleetView> Discovery::build() {
   this->Changed = false;
   auto View = makeRef<FleetView>();
   View->Shares.Nodes = this->Nodes;
+  View->Shares.NodesCounted = this->NodesCounted;
   const FleetBounds &Bounds = this->Settings.Bounds;
   View->Shares.Retry = {UsedRetryRatio * Bounds.RetryRatio,
                         UsedRetrySlack * Bounds.RetrySlack / this->Nodes,
@@ -225,6 +270,7 @@
   for (const ServiceSpec &Spec : this->Config->Services) {
     ServiceEntry &Service = View->Services.emplace_back();
     Service.Targets = std::move(ByService[Spec.Name]);
+    this->choosePreferred(Spec, Service.Targets);
     Ref<RetryBudget> &Budget = this->Budgets[Spec.Name];
     if (!Budget)
       Budget = makeRef<RetryBudget>();
--- a/balsamyard/src/Process/Discovery.h
+++ b/balsamyard/src/Process/Discovery.h
@@ -35,9 +35,12 @@
   void endEvacuation(const DomainName &Domain);
   void evacuateOnly(const std::set<DomainName> &Domains);
 
-  /// \brief The number of processes of the system.
-  void setNodes(std::uint32_t Count);
-  std::uint32_t nodes() const { return this->Nodes; }
+  /// \brief The nodes of the system, this one included.
+  void setNodes(const std::set<NodeName> &Listed);
+
+  /// \brief The store went away or came back: entries that disappear now may
+  /// only have lapsed.
+  void storeUnstable(TimePoint Now) { this->UnstableAt = Now; }
 
   /// \returns when the next withdrawn target is given up, if any.
   std::optional<TimePoint> nextExpiry() const;
@@ -66,7 +69,9 @@
   void setStanding(Entry &Known);
   Distance distanceOf(const DomainName &Domain) const;
   RegionName regionOf(const DomainName &Domain) const;
-  Duration withdrawalHold() const;
+  Duration withdrawalHold(TimePoint Now) const;
+  void choosePreferred(const ServiceSpec &Spec,
+                       std::vector<Ref<TargetState>> &Targets) const;
 
   const NodeSettings Settings;
   Ref<const Configuration> Config;
@@ -75,6 +80,9 @@
   std::map<ServiceName, Ref<RetryBudget>> Budgets;
   std::map<RouteName, Ref<RouteStats>> Stats;
   std::uint32_t Nodes;
+  bool NodesCounted = false;
+  std::uint32_t Rank = 0; ///< Of this node among all, by name.
+  std::optional<TimePoint> UnstableAt;
   bool Changed = false;
 };
 
--- a/balsamyard/src/Process/FleetAgent.cpp
+++ b/balsamyard/src/Process/FleetAgent.cpp
@@ -2,10 +2,16 @@
 
 #include "balsamyard/src/Core/Log.h"
 
-#include <set>
 
 namespace balsamyard {
 
+namespace {
+
+/// The store's answer if an object exists already.
+constexpr int ConflictStatus = 409;
+
+} // namespace
+
 FleetAgent::FleetAgent(asio::io_context &Context, const NodeSettings &Settings,
                        const PlatformAdapter &Adapter,
                        RcuCell<FleetView> &View,
@@ -13,11 +19,11 @@
     : Context(Context), Settings(Settings), Adapter(Adapter), View(View),
       OnPublished(std::move(OnPublished)), Known(Settings),
       Feeds{std::make_unique<Feed>(Context, ObjectKind::Configuration,
-                                   Settings.Store),
+                                   Duration::zero(), Settings.Store),
             std::make_unique<Feed>(Context, ObjectKind::Targets,
-                                   Settings.Store),
+                                   TargetEventPause, Settings.Store),
             std::make_unique<Feed>(Context, ObjectKind::Evacuations,
-                                   Settings.Store)},
+                                   Duration::zero(), Settings.Store)},
       NodeChannel(Context, Settings.Store), NodeTimer(Context),
       WorkTimer(Context) {}
 
@@ -154,6 +160,7 @@
 }
 
 void FleetAgent::on(Feed &From, const FeedLost &Output) {
+  this->Known.storeUnstable(steadyNow());
   logEvent(LogLevel::Warning, "store-lost",
            {{"kind", std::string(name(From.Kind))},
             {"code", Output.Why.Value},
@@ -161,6 +168,7 @@
 }
 
 void FleetAgent::on(Feed &From, const FeedRegained &) {
+  this->Known.storeUnstable(steadyNow());
   logEvent(LogLevel::Info, "store-regained",
            {{"kind", std::string(name(From.Kind))}});
 }
@@ -202,11 +210,12 @@
       this->Adapter.CreateCall(ObjectKind::Nodes, this->Settings.Node.Text,
                                Content),
       CallTimeout, [this](Expected<HttpResponse> Result) {
-        // 409: a former process of this node has registered it.
-        const bool Done = Result && (Result->Status / 100 == 2 ||
-                                     Result->Status == 409);
-        if (Done) {
-          this->countNodes();
+        // A former process of this node has registered it, so the others are
+        // not just starting.
+        const bool Known = Result && Result->Status == ConflictStatus;
+        if (Known || (Result && Result->Status / 100 == 2)) {
+          this->Settled = Known;
+          this->scheduleCount(Known ? Duration::zero() : FirstCountDelay);
           return;
         }
         logEvent(LogLevel::Warning, "node-not-registered",
@@ -220,27 +229,41 @@
       });
 }
 
-void FleetAgent::countNodes() {
+void FleetAgent::countNodes(const std::string &After) {
+  if (After.empty())
+    this->NodesListed.clear();
   this->NodeChannel.call(
-      this->Adapter.ListCall(ObjectKind::Nodes, {}), CallTimeout,
+      this->Adapter.StaleListCall(ObjectKind::Nodes, After), CallTimeout,
       [this](Expected<HttpResponse> Result) {
         Duration Next = ObjectFeed::MaxPause;
-        if (Result) {
-          const FeedInput Page = this->Adapter.ReadPage(*Result);
-          if (const auto *Listed = std::get_if<FeedPage>(&Page)) {
-            this->Known.setNodes(
-                static_cast<std::uint32_t>(Listed->Objects.size()));
-            this->scheduleWork();
-            Next = this->Registered ? RecountInterval : FirstRecount;
-            this->Registered = true;
+        const FeedInput Read = Result
+                                   ? this->Adapter.ReadPage(*Result)
+                                   : FeedInput(FeedCallFailed{Result.error()});
+        if (const auto *Page = std::get_if<FeedPage>(&Read)) {
+          for (const StoredObject &Object : Page->Objects)
+            this->NodesListed.insert(NodeName{Object.Name});
+          if (Page->HasMore && !Page->Objects.empty()) {
+            this->countNodes(Page->Objects.back().Name);
+            return;
           }
+          this->Known.setNodes(this->NodesListed);
+          this->scheduleWork();
+          Next = this->Settled ? RecountInterval : FirstRecount;
+          this->Settled = true;
+        } else if (const auto *Failed = std::get_if<FeedCallFailed>(&Read)) {
+          logEvent(LogLevel::Warning, "nodes-not-counted",
+                   {{"detail", Failed->Why.Detail}});
         }
-        this->NodeTimer.expires_after(Next);
-        this->NodeTimer.async_wait([this](const asio::error_code &Cancelled) {
-          if (!Cancelled)
-            this->countNodes();
-        });
+        this->scheduleCount(Next);
       });
 }
 
+void FleetAgent::scheduleCount(Duration After) {
+  this->NodeTimer.expires_after(After);
+  this->NodeTimer.async_wait([this](const asio::error_code &Cancelled) {
+    if (!Cancelled)
+      this->countNodes({});
+  });
+}
+
 } // namespace balsamyard
--- a/balsamyard/src/Process/FleetAgent.h
+++ b/balsamyard/src/Process/FleetAgent.h
@@ -11,6 +11,7 @@
 #include <atomic>
 #include <functional>
 #include <memory>
+#include <set>
 
 namespace balsamyard {
 
@@ -19,16 +20,22 @@
 class FleetAgent {
 public:
   /// Longest time that a watch waits; each watch that ends is one call.
-  static constexpr Duration WatchWait = std::chrono::seconds(20);
+  static constexpr Duration WatchWait = std::chrono::seconds(30);
 
   /// The store answers in milliseconds, and 60 times as late when it is slow.
   static constexpr Duration CallTimeout = std::chrono::milliseconds(1500);
 
+  /// Targets change often, most of all when many start; a leaving target
+  /// serves for seconds after it says so.
+  static constexpr Duration TargetEventPause = std::chrono::milliseconds(300);
+
   /// Changes that arrive together are published once.
   static constexpr Duration PublishDelay = std::chrono::milliseconds(5);
 
-  /// Nodes start within a second of each other, so the second count finds all
-  /// of them; later ones follow changes of the fleet.
+  /// Nodes that start together register within a second or two. The count is
+  /// a cheap read that may be seconds old; later ones follow changes of the
+  /// fleet.
+  static constexpr Duration FirstCountDelay = std::chrono::seconds(4);
   static constexpr Duration FirstRecount = std::chrono::seconds(4);
   static constexpr Duration RecountInterval = std::chrono::seconds(60);
 
@@ -46,8 +53,10 @@
 
 private:
   struct Feed {
-    Feed(asio::io_context &Context, ObjectKind Kind, const Endpoint &Store)
-        : Kind(Kind), Channel(Context, Store), Timer(Context) {}
+    Feed(asio::io_context &Context, ObjectKind Kind, Duration EventPause,
+         const Endpoint &Store)
+        : Kind(Kind), State(EventPause), Channel(Context, Store),
+          Timer(Context) {}
 
     const ObjectKind Kind;
     ObjectFeed State;
@@ -70,7 +79,8 @@
   void scheduleWork();
   void work();
   void registerNode();
-  void countNodes();
+  void countNodes(const std::string &After);
+  void scheduleCount(Duration After);
 
   asio::io_context &Context;
   const NodeSettings Settings;
@@ -83,7 +93,8 @@
   asio::steady_timer NodeTimer;
   asio::steady_timer WorkTimer;
   TimePoint WorkAt = TimePoint::max();
-  bool Registered = false;
+  std::set<NodeName> NodesListed;
+  bool Settled = false; ///< The nodes that start together are counted.
   bool TargetsListed = false;
   std::atomic<bool> Ready{false};
 };
--- a/balsamyard/src/Process/Node.cpp
+++ b/balsamyard/src/Process/Node.cpp
@@ -102,9 +102,10 @@
 }
 
 Node::Node(NodeSettings Given, PlatformAdapter Spoken, SettingsReader Reread,
-           std::string SettingsPath)
+           std::string SettingsPath, StopTimes Stops)
     : Settings(std::move(Given)), Adapter(std::move(Spoken)),
       Reread(std::move(Reread)), SettingsPath(std::move(SettingsPath)),
+      Stops(Stops),
       Protocol(this->Adapter.Headers), View(makeRef<const FleetView>()),
       Control(1),
       Agent(this->Control, this->Settings, this->Adapter, this->View,
@@ -128,6 +129,9 @@
     this->Paths.push_back(std::make_unique<PathThread>(
         this->Protocol, this->View, this->Counters, this->InFlight,
         (std::uint64_t(Entropy()) << 32) + Entropy()));
+    // All threads listen on the port that the first one got.
+    if (Count > 0)
+      this->Settings.Callers.Port = this->Paths.front()->port();
     this->Paths.back()->listen(toEndpoint(this->Settings.Callers));
   }
   this->Readiness.listen(toEndpoint(this->Settings.Readiness));
--- a/balsamyard/src/Process/Node.h
+++ b/balsamyard/src/Process/Node.h
@@ -81,7 +81,7 @@
 
   /// \p Reread gives the settings again after SIGHUP.
   Node(NodeSettings Settings, PlatformAdapter Adapter, SettingsReader Reread,
-       std::string SettingsPath);
+       std::string SettingsPath, StopTimes Stops = {});
   ~Node();
 
   /// \brief Serves until a stop signal has been carried out.
--- a/balsamyard/src/Process/ObjectFeed.cpp
+++ b/balsamyard/src/Process/ObjectFeed.cpp
@@ -39,6 +39,7 @@
   this->Watching = true;
   this->Since = this->ListedAt;
   this->succeeded(Outputs);
+  this->NextEventPause = this->EventPause;
   Outputs.push_back(FeedListed{std::exchange(this->Listed, {})});
   Outputs.push_back(CallWatch{this->Since});
 }
@@ -46,9 +47,16 @@
 void ObjectFeed::on(FeedEvents &Input, FeedOutputs &Outputs) {
   this->Since = std::max(this->Since, Input.AsOf);
   this->succeeded(Outputs);
+  if (Input.Changes.empty() || this->EventPause == Duration::zero()) {
+    this->NextEventPause = this->EventPause;
+    Outputs.push_back(CallWatch{this->Since});
+  } else {
+    Outputs.push_back(WakeFeed{this->NextEventPause});
+    // A store that is busy with changes is asked less and less often.
+    this->NextEventPause = std::min(2 * this->NextEventPause, MaxEventPause);
+  }
   if (!Input.Changes.empty())
     Outputs.push_back(FeedChanged{std::move(Input.Changes)});
-  Outputs.push_back(CallWatch{this->Since});
 }
 
 void ObjectFeed::on(const FeedHistoryGone &, FeedOutputs &Outputs) {
--- a/balsamyard/src/Process/ObjectFeed.h
+++ b/balsamyard/src/Process/ObjectFeed.h
@@ -106,6 +106,14 @@
   static constexpr Duration MinPause = std::chrono::milliseconds(150);
   static constexpr Duration MaxPause = std::chrono::milliseconds(900);
 
+  /// Longest pause between an event and the next watch; a store whose objects
+  /// change all the time is asked this often.
+  static constexpr Duration MaxEventPause = std::chrono::milliseconds(900);
+
+  /// \p EventPause is the time from an event to the next watch. Changes that
+  /// follow each other within it cost one call.
+  explicit ObjectFeed(Duration EventPause = {}) : EventPause(EventPause) {}
+
   void handle(FeedInput Input, FeedOutputs &Outputs);
 
   bool isLost() const { return this->Lost; }
@@ -122,6 +130,8 @@
   void succeeded(FeedOutputs &Outputs);
 
   std::vector<StoredObject> Listed;
+  const Duration EventPause;
+  Duration NextEventPause{};
   StoreRevision ListedAt{};
   StoreRevision Since{};
   bool Watching = false;
--- a/balsamyard/src/Process/PlatformAdapter.h
+++ b/balsamyard/src/Process/PlatformAdapter.h
@@ -37,7 +37,8 @@
   std::string ReadinessPath;
 
   std::function<std::string(ObjectKind, std::string_view After)> ListCall;
-  std::function<std::string(ObjectKind)> StaleListCall;
+  /// May be answered with objects as they were seconds ago; costs less.
+  std::function<std::string(ObjectKind, std::string_view After)> StaleListCall;
   std::function<std::string(ObjectKind, StoreRevision, Duration Wait)>
       WatchCall;
   std::function<std::string(ObjectKind, std::string_view Name,
--- a/balsamyard/src/Request/TargetChoice.cpp
+++ b/balsamyard/src/Request/TargetChoice.cpp
@@ -61,6 +61,8 @@
                   (1 + ChoiceNoise * Random.below(NoiseSteps) / NoiseSteps);
     if (Target->late() > 0)
       Cost *= LateFactor;
+    if (!Target->preferred())
+      Cost *= NotPreferredFactor;
     if (Target->reach() == Reach::Suspect)
       Cost *= SuspectFactor;
     if (Best == nullptr || Cost < BestCost) {
--- a/balsamyard/src/Request/TargetChoice.h
+++ b/balsamyard/src/Request/TargetChoice.h
@@ -31,6 +31,10 @@
 /// unless the others are this many times slower.
 inline constexpr double LateFactor = 6;
 
+/// \brief A target to which no connections are kept: one has to be opened, and
+/// the target may have no room for it.
+inline constexpr double NotPreferredFactor = 4;
+
 /// \brief A target whose connections broke has to be checked first, which costs
 /// a connection and a health request.
 inline constexpr double SuspectFactor = 12;
--- a/balsamyard/src/Version/FleetView.h
+++ b/balsamyard/src/Version/FleetView.h
@@ -40,6 +40,7 @@
 /// \brief Limits that follow from the number of processes.
 struct FleetShares {
   std::uint32_t Nodes = 1;
+  bool NodesCounted = false; ///< False while Nodes is an assumption.
   RetryBounds Retry;
 
   /// Of the requests that a cold target bears, on top of its rate.
--- a/balsamyard/src/Version/TargetState.h
+++ b/balsamyard/src/Version/TargetState.h
@@ -76,6 +76,15 @@
     this->CurrentReach.store(Value, std::memory_order_relaxed);
   }
 
+  /// \brief Whether this process keeps connections to the target. A target has
+  /// too few of them for every process; the others connect when they must.
+  bool preferred() const {
+    return this->Preferred.load(std::memory_order_relaxed);
+  }
+  void setPreferred(bool Value) {
+    this->Preferred.store(Value, std::memory_order_relaxed);
+  }
+
   /// \brief The target is in cold start until \p Until.
   void coldUntil(TimePoint Until) {
     this->ColdUntilMicros.store(Until.time_since_epoch().count(),
@@ -128,6 +137,7 @@
 
   std::atomic<Standing> CurrentStanding{Standing::Serving};
   std::atomic<Reach> CurrentReach{Reach::Up};
+  std::atomic<bool> Preferred{true};
   std::atomic<std::int64_t> ColdUntilMicros{0};
   std::atomic<std::int64_t> LastColdMicros{0};
   std::atomic<std::uint32_t> InFlight{0};
