--- a/apps/balsamyard-node/main.cpp
+++ b/apps/balsamyard-node/main.cpp
@@ -29,13 +29,17 @@
     std::cout << "settings are valid\n";
     return 0;
   }
-  openLog("node", Settings->Node, Settings->Domain, "");
+  openLog("node", Settings->Node, Settings->Domain, "-", LogDelivery::Queued);
   logEvent(LogLevel::Info, "node-starting",
            {{"release", std::string(BALSAMYARD_VERSION)},
             {"callers", toText(Settings->Callers)},
             {"store", toText(Settings->Store)}});
   Node Process(*Settings, platform::makeAdapter(), Read, Path);
   Process.run();
+  logEvent(LogLevel::Info, "node-ended",
+           {{"log_lines_dropped",
+             static_cast<std::int64_t>(droppedLogLines())}});
+  closeLog();
   return 0;
 }
 
--- a/balsamyard/src/Core/Log.cpp
+++ b/balsamyard/src/Core/Log.cpp
@@ -1,9 +1,14 @@
 #include "balsamyard/src/Core/Log.h"
 
+#include "balsamyard/src/Core/Overload.h"
+
 #include <array>
+#include <atomic>
 #include <boost/core/null_deleter.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
+#include <boost/log/sinks/async_frontend.hpp>
+#include <boost/log/sinks/bounded_fifo_queue.hpp>
 #include <boost/log/sinks/sync_frontend.hpp>
 #include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/log/sources/logger.hpp>
@@ -15,20 +20,43 @@
 #include <iostream>
 #include <mutex>
 #include <nlohmann/json.hpp>
+#include <utility>
+#include <variant>
 
 namespace balsamyard {
 
 namespace {
 
-using Sink = boost::log::sinks::synchronous_sink<
-    boost::log::sinks::text_ostream_backend>;
+using Backend = boost::log::sinks::text_ostream_backend;
+
+std::atomic<std::uint64_t> DroppedLines{0};
+
+/// Drops the record that finds the queue full, and counts it.
+class CountingDrop {
+public:
+  template <typename Lock>
+  static bool on_overflow(const boost::log::record_view &, Lock &) {
+    DroppedLines.fetch_add(1, std::memory_order_relaxed);
+    return false;
+  }
+  static void on_queue_space_available() {}
+  static void interrupt() {}
+};
+
+using ImmediateSink = boost::log::sinks::synchronous_sink<Backend>;
+using QueuedSink = boost::log::sinks::asynchronous_sink<
+    Backend, boost::log::sinks::bounded_fifo_queue<LogQueueLines, CountingDrop>>;
+
+/// The process has no sink, or one of these.
+using Sink = std::variant<std::monostate, boost::shared_ptr<ImmediateSink>,
+                          boost::shared_ptr<QueuedSink>>;
 
 /// What openLog() set. Static because a log line may be written before main()
 /// has built any object and after it has destroyed all.
 struct LogState {
   std::mutex Mutex;
   std::string Process; ///< Members that follow "event", as JSON text.
-  boost::shared_ptr<Sink> Output;
+  Sink Output;
 };
 
 LogState &state() {
@@ -91,27 +119,72 @@
 
 } // namespace
 
-void openLog(std::string_view Process, const NodeName &Node,
-             const DomainName &Domain, const std::string &File) {
-  auto Backend = boost::make_shared<boost::log::sinks::text_ostream_backend>();
+namespace {
+
+template <typename Type>
+Sink addSink(const boost::shared_ptr<Backend> &Output) {
+  auto Result = boost::make_shared<Type>(Output);
+  Result->set_formatter(boost::log::expressions::stream
+                        << boost::log::expressions::smessage);
+  boost::log::core::get()->add_sink(Result);
+  return Result;
+}
+
+void removeSink(const Sink &Former) {
+  std::visit(Overload{[](const std::monostate &) {},
+                      [](const boost::shared_ptr<ImmediateSink> &Output) {
+                        boost::log::core::get()->remove_sink(Output);
+                      },
+                      [](const boost::shared_ptr<QueuedSink> &Output) {
+                        boost::log::core::get()->remove_sink(Output);
+                        Output->stop();
+                        Output->flush();
+                      }},
+             Former);
+}
+
+boost::shared_ptr<Backend> openBackend(const std::string &File) {
+  auto Result = boost::make_shared<Backend>();
   if (File.empty())
-    Backend->add_stream(
+    Result->add_stream(
         boost::shared_ptr<std::ostream>(&std::clog, boost::null_deleter()));
+  else if (File == "-")
+    Result->add_stream(
+        boost::shared_ptr<std::ostream>(&std::cout, boost::null_deleter()));
   else
-    Backend->add_stream(boost::make_shared<std::ofstream>(File, std::ios::app));
-  Backend->auto_flush(true);
-  auto Output = boost::make_shared<Sink>(Backend);
-  Output->set_formatter(boost::log::expressions::stream
-                        << boost::log::expressions::smessage);
+    Result->add_stream(boost::make_shared<std::ofstream>(File, std::ios::app));
+  Result->auto_flush(true);
+  return Result;
+}
 
+} // namespace
+
+void openLog(std::string_view Process, const NodeName &Node,
+             const DomainName &Domain, const std::string &File,
+             LogDelivery Delivery) {
+  closeLog();
+  const auto Output = openBackend(File);
   LogState &State = state();
   std::lock_guard<std::mutex> Lock(State.Mutex);
   State.Process = R"(,"process":)" + jsonText(Process) + R"(,"node":)" +
                   jsonText(Node.Text) + R"(,"domain":)" + jsonText(Domain.Text);
-  if (State.Output)
-    boost::log::core::get()->remove_sink(State.Output);
-  State.Output = Output;
-  boost::log::core::get()->add_sink(Output);
+  State.Output = Delivery == LogDelivery::Immediate
+                     ? addSink<ImmediateSink>(Output)
+                     : addSink<QueuedSink>(Output);
+}
+
+void closeLog() {
+  LogState &State = state();
+  Sink Former;
+  {
+    std::lock_guard<std::mutex> Lock(State.Mutex);
+    Former = std::exchange(State.Output, std::monostate{});
+  }
+  removeSink(Former);
+}
+
+std::uint64_t droppedLogLines() {
+  return DroppedLines.load(std::memory_order_relaxed);
 }
 
 void logEvent(LogLevel Level, std::string_view Event,
@@ -123,7 +196,7 @@
   {
     LogState &State = state();
     std::lock_guard<std::mutex> Lock(State.Mutex);
-    if (!State.Output)
+    if (std::holds_alternative<std::monostate>(State.Output))
       return;
     Line += State.Process;
   }
--- a/balsamyard/src/Core/Log.h
+++ b/balsamyard/src/Core/Log.h
@@ -20,10 +20,28 @@
 
 enum class LogLevel { Info, Warning, Error };
 
+/// \brief How lines reach the sink.
+enum class LogDelivery {
+  Immediate, ///< Written and flushed by the thread that logs.
+  Queued     ///< Written by a thread of its own; never blocks.
+};
+
+/// \brief Lines that wait for a sink which does not keep up. At about 300
+/// bytes each they hold 1 MB; further lines are dropped and counted.
+inline constexpr std::size_t LogQueueLines = 4096;
+
 /// \brief Names the process in every line and opens the sink. An empty \p File
-/// is standard error. Lines written before the first call are dropped.
+/// is standard error, "-" is standard output. Lines written before the first
+/// call are dropped.
 void openLog(std::string_view Process, const NodeName &Node,
-             const DomainName &Domain, const std::string &File);
+             const DomainName &Domain, const std::string &File,
+             LogDelivery Delivery = LogDelivery::Immediate);
+
+/// \brief Writes what is queued and closes the sink.
+void closeLog();
+
+/// \returns how many lines were dropped because the sink did not keep up.
+std::uint64_t droppedLogLines();
 
 /// \brief Writes one JSON line and flushes it. \p Event is a stable kebab-case
 /// name. Durations are written in microseconds, codes as their number.
--- a/balsamyard/src/Request/RequestRun.cpp
+++ b/balsamyard/src/Request/RequestRun.cpp
@@ -255,6 +255,7 @@
             {"detail", std::string(Detail)},
             {"time", Age},
             {"goal_in", this->Decisions.input().GoalAt - Now},
+            {"decisions", this->Decisions.describe(Now)},
             {"shards", std::int64_t(Counts.Shards)},
             {"answered", std::int64_t(Counts.Answered)},
             {"hedges", std::int64_t(Counts.Hedges)},
--- a/balsamyard/src/Request/Scatter.cpp
+++ b/balsamyard/src/Request/Scatter.cpp
@@ -3,6 +3,7 @@
 #include "balsamyard/src/Core/Overload.h"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 
 namespace balsamyard {
@@ -166,7 +167,39 @@
   ++this->MayHaveRun;
 }
 
-void Scatter::closeAttempt(Attempt &Closed) {
+std::string Scatter::describe(TimePoint Now) const {
+  constexpr std::array<std::string_view, 7> Fates = {
+      "open", "answered", "not-executed", "failed", "broken", "not-sent",
+      "withdrawn"};
+  constexpr std::array<std::string_view, 3> Places = {"domain", "region",
+                                                      "far"};
+  std::string Result;
+  std::size_t Count = 0;
+  for (const Attempt &Each : this->Attempts) {
+    const bool Ordinary =
+        !Each.Extra && !Each.Late && Each.Result == Fate::Answered;
+    if (Ordinary || ++Count > MaxDescribed)
+      continue;
+    const Duration Took = Each.Result == Fate::Open ? Now - Each.At : Each.Took;
+    Result.append(Result.empty() ? "" : "; ")
+        .append(Each.Target->Info.Id.Text)
+        .append("@")
+        .append(Places[static_cast<std::size_t>(Each.Target->Info.Far)])
+        .append(Each.Hedge ? " hedge " : Each.Extra ? " retry " : " first ")
+        .append(Fates[static_cast<std::size_t>(Each.Result)])
+        .append(" after ")
+        .append(std::to_string(
+            std::chrono::duration_cast<std::chrono::milliseconds>(Took)
+                .count()));
+  }
+  if (Count > MaxDescribed)
+    Result.append("; and ").append(std::to_string(Count - MaxDescribed));
+  return Result;
+}
+
+void Scatter::closeAttempt(Attempt &Closed, Fate Result, TimePoint Now) {
+  Closed.Result = Result;
+  Closed.Took = Now - Closed.At;
   Shard &Part = this->Shards[Closed.Shard];
   --Part.OpenCount;
   if (Closed.Current == State::Queued)
@@ -184,7 +217,12 @@
   Attempt &Answered = this->Attempts[Event.Attempt];
   if (Answered.Current == State::Ended)
     return;
-  this->closeAttempt(Answered);
+  this->closeAttempt(Answered,
+                     Event.Answer.Kind == AnswerKind::Complete ? Fate::Answered
+                     : Event.Answer.Kind == AnswerKind::Failed
+                         ? Fate::Failed
+                         : Fate::NotExecuted,
+                     Now);
   if (Event.Answer.Kind == AnswerKind::NotExecuted)
     --this->MayHaveRun;
   Shard &Part = this->Shards[Answered.Shard];
@@ -215,7 +253,10 @@
   Attempt &Ended = this->Attempts[Event.Attempt];
   if (Ended.Current == State::Ended)
     return;
-  this->closeAttempt(Ended);
+  this->closeAttempt(Ended,
+                     Event.Failure == AttemptFailure::NotSent ? Fate::NotSent
+                                                              : Fate::Broken,
+                     Now);
   Shard &Part = this->Shards[Ended.Shard];
   if (Part.Answered || Part.GivenUp)
     return;
@@ -280,7 +321,7 @@
   ++this->Shards[ShardAt].QueuedCount;
   if (!Moved)
     return;
-  this->closeAttempt(this->Attempts[At]);
+  this->closeAttempt(this->Attempts[At], Fate::Withdrawn, Now);
   Effects.push_back(WithdrawAttempt{At});
 }
 
@@ -298,9 +339,9 @@
   if (!this->isSharded()) {
     if (this->Shards[0].Answered)
       this->finish(
-          ForwardedAnswer{std::move(this->Shards[0].Answer.Response)}, Effects);
+          ForwardedAnswer{std::move(this->Shards[0].Answer.Response)}, Now, Effects);
     else if (this->OpenShards == 0 || TimeOver)
-      this->finish(this->failure(TimeOver), Effects);
+      this->finish(this->failure(TimeOver), Now, Effects);
     return;
   }
   const bool Met = this->coverageMet();
@@ -315,7 +356,7 @@
     }
     Merged.MissingParts = this->Counts.Shards - this->Counts.Answered;
     Merged.Records = mergeRecords(Parts, this->Sharded->TopRecords);
-    this->finish(std::move(Merged), Effects);
+    this->finish(std::move(Merged), Now, Effects);
     return;
   }
   const double Reachable =
@@ -325,7 +366,7 @@
                              static_cast<double>(this->Shards.size()) ||
       Reachable == 0;
   if (TimeOver || Hopeless)
-    this->finish(this->failure(TimeOver), Effects);
+    this->finish(this->failure(TimeOver), Now, Effects);
 }
 
 CallerAnswer Scatter::failure(bool TimeOver) const {
@@ -366,12 +407,13 @@
   Effects.push_back(WakeScatter{Next});
 }
 
-void Scatter::finish(CallerAnswer Result, ScatterEffects &Effects) {
+void Scatter::finish(CallerAnswer Result, TimePoint Now,
+                     ScatterEffects &Effects) {
   this->Finished = true;
   this->Outcome = std::move(Result);
   for (AttemptIndex At = 0; At < this->Attempts.size(); ++At)
     if (this->Attempts[At].Current == State::Queued) {
-      this->closeAttempt(this->Attempts[At]);
+      this->closeAttempt(this->Attempts[At], Fate::Withdrawn, Now);
       Effects.push_back(WithdrawAttempt{At});
     }
   Effects.push_back(ScatterFinished{});
--- a/balsamyard/src/Request/Scatter.h
+++ b/balsamyard/src/Request/Scatter.h
@@ -117,12 +117,20 @@
     return *this->Attempts[Attempt].Target;
   }
 
+  /// \returns the attempts that were late, failed or extra, for the log:
+  /// "TARGET@DISTANCE kind outcome after MILLISECONDS", at most
+  /// MaxDescribed of them.
+  std::string describe(TimePoint Now) const;
+
   const ScatterCounts &counts() const { return this->Counts; }
   const ScatterInput &input() const { return this->Input; }
   const Route &route() const {
     return this->Input.View->Config->Routes[this->Input.RouteAt];
   }
 
+  /// Attempts in one log line; it stays below 1 KB.
+  static constexpr std::size_t MaxDescribed = 12;
+
   /// \brief A request that found no target may come back after this time:
   /// targets are checked again within it.
   static constexpr Duration NoTargetRetryAfter = std::chrono::milliseconds(300);
@@ -134,6 +142,17 @@
 private:
   enum class State : std::uint8_t { Queued, Sent, Ended };
 
+  /// How an attempt went, for the log.
+  enum class Fate : std::uint8_t {
+    Open,
+    Answered,
+    NotExecuted,
+    Failed,
+    Broken,
+    NotSent,
+    Withdrawn
+  };
+
   struct Attempt {
     Ref<TargetState> Target;
     std::uint32_t Shard = 0;
@@ -141,6 +160,8 @@
     bool Extra = false; ///< Its arrival counts against the budget.
     bool Hedge = false;
     bool Late = false;
+    Fate Result = Fate::Open;
+    Duration Took{};
     TimePoint At{}; ///< Since it was submitted or, later, sent.
   };
 
@@ -169,10 +190,10 @@
                       ScatterEffects &Effects);
   void checkLate(TimePoint Now, ScatterEffects &Effects);
   void moveQueued(AttemptIndex At, TimePoint Now, ScatterEffects &Effects);
-  void closeAttempt(Attempt &Closed);
+  void closeAttempt(Attempt &Closed, Fate Result, TimePoint Now);
   void checkEnd(TimePoint Now, ScatterEffects &Effects);
   void scheduleWake(TimePoint Now, ScatterEffects &Effects);
-  void finish(CallerAnswer Result, ScatterEffects &Effects);
+  void finish(CallerAnswer Result, TimePoint Now, ScatterEffects &Effects);
   CallerAnswer failure(bool TimeOver) const;
   bool coverageMet() const;
   bool isSharded() const { return this->Sharded != nullptr; }
