--- a/apps/balsamyard-node/main.cpp
+++ b/apps/balsamyard-node/main.cpp
@@ -16,13 +16,17 @@
 constexpr int ExitSettings = 78;
 constexpr int ExitFailure = 70;
 
-int serve(const std::string &Path, bool CheckOnly) {
-  const auto Read = [Path] { return platform::readSettings(Path); };
+int serve(const std::string &Path, std::uint16_t MetricsPort, bool CheckOnly) {
+  const auto Read = [Path, MetricsPort] {
+    Expected<NodeSettings> Result = platform::readSettings(Path);
+    if (Result)
+      Result->MetricsPort = MetricsPort;
+    return Result;
+  };
   const Expected<NodeSettings> Settings = Read();
   if (!Settings) {
-    std::cerr << "balsamyard-node: "
-              << static_cast<int>(Settings.error().Value) << " "
-              << Settings.error().Detail << "\n";
+    std::cerr << "balsamyard-node: " << static_cast<int>(Settings.error().Value)
+              << " " << Settings.error().Detail << "\n";
     return ExitSettings;
   }
   if (CheckOnly) {
@@ -36,9 +40,9 @@
             {"store", toText(Settings->Store)}});
   Node Process(*Settings, platform::makeAdapter(), Read, Path);
   Process.run();
-  logEvent(LogLevel::Info, "node-ended",
-           {{"log_lines_dropped",
-             static_cast<std::int64_t>(droppedLogLines())}});
+  logEvent(
+      LogLevel::Info, "node-ended",
+      {{"log_lines_dropped", static_cast<std::int64_t>(droppedLogLines())}});
   closeLog();
   return 0;
 }
@@ -50,12 +54,14 @@
   std::signal(SIGPIPE, SIG_IGN);
   cxxopts::Options Options("balsamyard-node",
                            "Serves callers on the users' platform.");
-  Options.add_options()("settings", "settings file (YAML); default: $" +
-                                        std::string(platform::SettingsVariable),
+  Options.add_options()("settings",
+                        "settings file (YAML); default: $" +
+                            std::string(platform::SettingsVariable),
                         cxxopts::value<std::string>())(
-      "check-settings", "check the settings and exit")("version",
-                                                       "print the version")(
-      "help", "print this text");
+      "metrics-port", "port of the metrics page; 0: none",
+      cxxopts::value<std::uint16_t>()->default_value("0"))(
+      "check-settings", "check the settings and exit")(
+      "version", "print the version")("help", "print this text");
   try {
     const auto Given = Options.parse(Count, Arguments);
     if (Given.count("help") != 0) {
@@ -75,12 +81,14 @@
                 << platform::SettingsVariable << " or --settings\n";
       return ExitUsage;
     }
-    return serve(Path, Given.count("check-settings") != 0);
+    return serve(Path, Given["metrics-port"].as<std::uint16_t>(),
+                 Given.count("check-settings") != 0);
   } catch (const cxxopts::exceptions::exception &Fault) {
     std::cerr << "balsamyard-node: " << Fault.what() << "\n";
     return ExitUsage;
   } catch (const std::exception &Fault) {
-    logEvent(LogLevel::Error, "node-failed", {{"detail", std::string(Fault.what())}});
+    logEvent(LogLevel::Error, "node-failed",
+             {{"detail", std::string(Fault.what())}});
     std::cerr << "balsamyard-node: " << Fault.what() << "\n";
     return ExitFailure;
   }
--- a/balsamyard/src/Connection/HttpLink.h
+++ b/balsamyard/src/Connection/HttpLink.h
@@ -28,7 +28,8 @@
 
   /// \brief A peer that vanished is noticed after this time without an
   /// acknowledgement, instead of after the retransmissions of many minutes.
-  static constexpr Duration AcknowledgeTimeout = std::chrono::milliseconds(2500);
+  static constexpr Duration AcknowledgeTimeout =
+      std::chrono::milliseconds(2500);
 
   /// \brief Probes of an idle connection; their sum stays below
   /// AcknowledgeTimeout.
@@ -45,7 +46,9 @@
   void send(std::string Message, bool BodyExpected, AnswerHandler Done);
 
   /// \brief Is called when an idle connection ended, not after close().
-  void onIdleClose(CloseHandler Handler) { this->IdleClose = std::move(Handler); }
+  void onIdleClose(CloseHandler Handler) {
+    this->IdleClose = std::move(Handler);
+  }
 
   /// \brief Closes the connection; no handler is called any more.
   void close();
@@ -54,7 +57,9 @@
   /// and no byte waits that nobody asked for.
   bool isReady();
 
-  bool isOpen() const { return this->Current == State::Idle || this->Current == State::Busy; }
+  bool isOpen() const {
+    return this->Current == State::Idle || this->Current == State::Busy;
+  }
 
   /// \returns since when the connection is idle.
   TimePoint idleSince() const { return this->IdleSince; }
--- a/balsamyard/src/Connection/HttpParser.cpp
+++ b/balsamyard/src/Connection/HttpParser.cpp
@@ -170,8 +170,7 @@
     return {0, HttpComplete{}};
   const std::size_t Used = http_parser_execute(&Self.Parser, &callbacks(),
                                                Bytes.data(), Bytes.size());
-  const auto Problem =
-      static_cast<http_errno>(HTTP_PARSER_ERRNO(&Self.Parser));
+  const auto Problem = static_cast<http_errno>(HTTP_PARSER_ERRNO(&Self.Parser));
   if (Self.Whole && (Problem == HPE_PAUSED || Problem == HPE_OK))
     return {Used, HttpComplete{}};
   if (!Self.Fault.Reason.empty())
@@ -213,8 +212,7 @@
 HttpRequest RequestParser::take() {
   Collector &Self = *this->Implementation;
   HttpRequest Result;
-  Result.Method =
-      http_method_str(static_cast<http_method>(Self.Parser.method));
+  Result.Method = http_method_str(static_cast<http_method>(Self.Parser.method));
   Result.Target = std::move(Self.Start);
   Result.Fields = std::move(Self.Fields);
   Result.Body = std::move(Self.Body);
--- a/balsamyard/src/Connection/ServerConnection.cpp
+++ b/balsamyard/src/Connection/ServerConnection.cpp
@@ -105,28 +105,27 @@
   this->KeepAfterWrite = KeepOpen;
   this->Outgoing = std::move(Message);
   const Ref<ServerConnection> Self(this);
-  asio::async_write(
-      this->Socket, asio::buffer(this->Outgoing),
-      [Self](const asio::error_code &Problem, std::size_t) {
-        if (Self->Current != State::Writing)
-          return;
-        if (Problem) {
-          Self->close();
-          return;
-        }
-        if (!Self->KeepAfterWrite) {
-          Self->linger();
-          return;
-        }
-        Self->Current = State::Reading;
-        Self->Limits = Self->Hooks.Limits();
-        Self->Parser.limit(Self->Limits.Message);
-        Self->armTimer(Self->Limits.IdleTimeout);
-        if (Self->Unparsed.empty())
-          Self->read();
-        else
-          Self->parse();
-      });
+  asio::async_write(this->Socket, asio::buffer(this->Outgoing),
+                    [Self](const asio::error_code &Problem, std::size_t) {
+                      if (Self->Current != State::Writing)
+                        return;
+                      if (Problem) {
+                        Self->close();
+                        return;
+                      }
+                      if (!Self->KeepAfterWrite) {
+                        Self->linger();
+                        return;
+                      }
+                      Self->Current = State::Reading;
+                      Self->Limits = Self->Hooks.Limits();
+                      Self->Parser.limit(Self->Limits.Message);
+                      Self->armTimer(Self->Limits.IdleTimeout);
+                      if (Self->Unparsed.empty())
+                        Self->read();
+                      else
+                        Self->parse();
+                    });
 }
 
 void ServerConnection::reject(const HttpMalformed &Fault) {
@@ -239,9 +238,9 @@
 }
 
 std::size_t Listener::busyConnections() const {
-  return static_cast<std::size_t>(
-      std::count_if(this->Connections.begin(), this->Connections.end(),
-                    [](const ServerConnection &Open) { return Open.isBusy(); }));
+  return static_cast<std::size_t>(std::count_if(
+      this->Connections.begin(), this->Connections.end(),
+      [](const ServerConnection &Open) { return Open.isBusy(); }));
 }
 
 } // namespace balsamyard
--- a/balsamyard/src/Connection/ServerConnection.h
+++ b/balsamyard/src/Connection/ServerConnection.h
@@ -69,7 +69,9 @@
   /// \brief Closes the connection whatever it does.
   void close();
 
-  bool isBusy() const { return this->Current == State::Handling || this->Current == State::Writing; }
+  bool isBusy() const {
+    return this->Current == State::Handling || this->Current == State::Writing;
+  }
 
   /// \brief What the owner attaches to the running request.
   void *Attached = nullptr;
--- a/balsamyard/src/Connection/TargetCall.h
+++ b/balsamyard/src/Connection/TargetCall.h
@@ -1,10 +1,10 @@
 #pragma once
 
-#include "balsamyard/src/Version/TargetState.h"
 #include "balsamyard/src/Core/Error.h"
 #include "balsamyard/src/Core/Http.h"
 #include "balsamyard/src/Core/RefCounted.h"
 #include "balsamyard/src/Version/FleetView.h"
+#include "balsamyard/src/Version/TargetState.h"
 
 #include <boost/intrusive/list_hook.hpp>
 #include <functional>
--- a/balsamyard/src/Connection/TargetChannel.cpp
+++ b/balsamyard/src/Connection/TargetChannel.cpp
@@ -145,8 +145,7 @@
   }
   this->Protocol.readLoad(*Result, *this->Target, Now);
   if (const std::optional<Duration> Stated = statedIdleTime(*Result)) {
-    this->IdleLimit =
-        std::max(*Stated - this->Times.IdleMargin, *Stated / 2);
+    this->IdleLimit = std::max(*Stated - this->Times.IdleMargin, *Stated / 2);
     this->IdleStated = true;
   }
   if (Result->Status / 100 != 2) {
@@ -284,8 +283,7 @@
   this->Target->setReach(Reach::Up);
   logEvent(LogLevel::Info, "target-reached",
            {{"target", this->Target->Info.Id.Text}, {"cold", Cold}});
-  if (Link->isOpen() && !this->Retired &&
-      this->Links.size() < this->MaxLinks) {
+  if (Link->isOpen() && !this->Retired && this->Links.size() < this->MaxLinks) {
     auto Entry = makeRef<LinkEntry>();
     Entry->Link = Link;
     Entry->Opening = false;
@@ -332,8 +330,7 @@
       Entry->Link->close();
       this->onAnswer(Entry, fail(Code::DeadlineExceeded, "no answer"));
     } else if (!Entry->Opening && !Entry->Running &&
-               (this->Retired ||
-                Now - Entry->Link->idleSince() >= KeepIdle)) {
+               (this->Retired || Now - Entry->Link->idleSince() >= KeepIdle)) {
       Entry->Link->close();
       this->remove(*Entry);
     }
--- a/balsamyard/src/Connection/TargetChannel.h
+++ b/balsamyard/src/Connection/TargetChannel.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "balsamyard/src/Connection/HttpLink.h"
+#include "balsamyard/src/Connection/TargetCall.h"
 #include "balsamyard/src/Connection/TargetProtocol.h"
 #include "balsamyard/src/Version/TargetState.h"
-#include "balsamyard/src/Connection/TargetCall.h"
 
 #include <boost/intrusive/list.hpp>
 #include <unordered_map>
@@ -100,9 +100,8 @@
 
   using CallList = boost::intrusive::list<
       TargetCall,
-      boost::intrusive::member_hook<TargetCall,
-                                    boost::intrusive::list_member_hook<>,
-                                    &TargetCall::Hook>>;
+      boost::intrusive::member_hook<
+          TargetCall, boost::intrusive::list_member_hook<>, &TargetCall::Hook>>;
 
   void openLink();
   void dispatch();
--- a/balsamyard/src/Connection/TargetProtocol.cpp
+++ b/balsamyard/src/Connection/TargetProtocol.cpp
@@ -102,14 +102,13 @@
   return std::chrono::milliseconds(wholeNumber(*Value).value_or(0));
 }
 
-std::string_view
-TargetProtocol::targetId(const HttpResponse &Response) const {
+std::string_view TargetProtocol::targetId(const HttpResponse &Response) const {
   const std::string *Value = Response.Fields.find(this->Names.TargetId);
   return Value == nullptr ? std::string_view() : std::string_view(*Value);
 }
 
-void TargetProtocol::readLoad(const HttpResponse &Response,
-                              TargetState &Target, TimePoint Now) const {
+void TargetProtocol::readLoad(const HttpResponse &Response, TargetState &Target,
+                              TimePoint Now) const {
   const std::string *Value = Response.Fields.find(this->Names.Load);
   if (Value == nullptr)
     return;
@@ -117,8 +116,7 @@
   if (Comma == std::string::npos)
     return;
   const auto Running = wholeNumber(*Value);
-  const auto Waiting =
-      wholeNumber(std::string_view(*Value).substr(Comma + 1));
+  const auto Waiting = wholeNumber(std::string_view(*Value).substr(Comma + 1));
   if (Running && Waiting)
     Target.reportLoad(static_cast<std::uint32_t>(*Running),
                       static_cast<std::uint32_t>(*Waiting), Now);
@@ -143,8 +141,7 @@
   if (!Request.Body.empty() ||
       Request.Fields.find("content-length") != nullptr ||
       Request.Fields.find("transfer-encoding") != nullptr)
-    appendField(Message, "Content-Length",
-                std::to_string(Request.Body.size()));
+    appendField(Message, "Content-Length", std::to_string(Request.Body.size()));
   return Message;
 }
 
@@ -197,41 +194,41 @@
   return Answer;
 }
 
-std::string TargetProtocol::answer(const CallerAnswer &Outcome,
-                                   bool KeepAlive, bool WithBody) const {
+std::string TargetProtocol::answer(const CallerAnswer &Outcome, bool KeepAlive,
+                                   bool WithBody) const {
   return std::visit(
-      Overload{
-          [&](const MergedAnswer &Merged) {
-            std::string Message;
-            appendStatusLine(Message, 200);
-            std::string List;
-            for (const std::string &Receipt : Merged.Receipts)
-              List.append(List.empty() ? "" : ", ").append(Receipt);
-            appendField(Message, this->Names.Receipts, List);
-            appendField(Message, this->Names.MissingParts,
-                        std::to_string(Merged.MissingParts));
-            appendField(Message, "Content-Type", "application/octet-stream");
-            appendEnd(Message, Merged.Records, KeepAlive, WithBody);
-            return Message;
-          },
-          [&](const ForwardedAnswer &Forwarded) {
-            const HttpResponse &Response = Forwarded.Response;
-            std::string Message;
-            appendStatusLine(Message, Response.Status);
-            for (const HttpField &Field : Response.Fields)
-              if (!isHopByHop(Response.Fields, Field.Name) &&
-                  !sameHeaderName(Field.Name, "content-length"))
-                appendField(Message, Field.Name, Field.Value);
-            appendEnd(Message, Response.Body, KeepAlive, WithBody);
-            return Message;
-          },
-          [&](const NotExecutedAnswer &Refused) {
-            return plainAnswer(503, Refused.Reason, KeepAlive,
-                               Refused.RetryAfter);
-          },
-          [&](const FailedAnswer &Failed) {
-            return plainAnswer(Failed.Status, Failed.Reason, KeepAlive);
-          }},
+      Overload{[&](const MergedAnswer &Merged) {
+                 std::string Message;
+                 appendStatusLine(Message, 200);
+                 std::string List;
+                 for (const std::string &Receipt : Merged.Receipts)
+                   List.append(List.empty() ? "" : ", ").append(Receipt);
+                 appendField(Message, this->Names.Receipts, List);
+                 appendField(Message, this->Names.MissingParts,
+                             std::to_string(Merged.MissingParts));
+                 appendField(Message, "Content-Type",
+                             "application/octet-stream");
+                 appendEnd(Message, Merged.Records, KeepAlive, WithBody);
+                 return Message;
+               },
+               [&](const ForwardedAnswer &Forwarded) {
+                 const HttpResponse &Response = Forwarded.Response;
+                 std::string Message;
+                 appendStatusLine(Message, Response.Status);
+                 for (const HttpField &Field : Response.Fields)
+                   if (!isHopByHop(Response.Fields, Field.Name) &&
+                       !sameHeaderName(Field.Name, "content-length"))
+                     appendField(Message, Field.Name, Field.Value);
+                 appendEnd(Message, Response.Body, KeepAlive, WithBody);
+                 return Message;
+               },
+               [&](const NotExecutedAnswer &Refused) {
+                 return plainAnswer(503, Refused.Reason, KeepAlive,
+                                    Refused.RetryAfter);
+               },
+               [&](const FailedAnswer &Failed) {
+                 return plainAnswer(Failed.Status, Failed.Reason, KeepAlive);
+               }},
       Outcome);
 }
 
--- a/balsamyard/src/Core/Answer.h
+++ b/balsamyard/src/Core/Answer.h
@@ -51,6 +51,6 @@
 
 /// \brief The final answer to a caller.
 using CallerAnswer = std::variant<MergedAnswer, ForwardedAnswer,
-                                    NotExecutedAnswer, FailedAnswer>;
+                                  NotExecutedAnswer, FailedAnswer>;
 
 } // namespace balsamyard
--- a/balsamyard/src/Core/Http.cpp
+++ b/balsamyard/src/Core/Http.cpp
@@ -65,9 +65,15 @@
 }
 
 bool isHopByHop(const HttpFields &Fields, std::string_view Name) {
-  constexpr std::array<std::string_view, 9> Names = {
-      "connection", "keep-alive", "proxy-connection", "proxy-authenticate",
-      "proxy-authorization", "te", "trailer", "transfer-encoding", "upgrade"};
+  constexpr std::array<std::string_view, 9> Names = {"connection",
+                                                     "keep-alive",
+                                                     "proxy-connection",
+                                                     "proxy-authenticate",
+                                                     "proxy-authorization",
+                                                     "te",
+                                                     "trailer",
+                                                     "transfer-encoding",
+                                                     "upgrade"};
   for (std::string_view Known : Names)
     if (sameHeaderName(Known, Name))
       return true;
--- a/balsamyard/src/Core/Log.cpp
+++ b/balsamyard/src/Core/Log.cpp
@@ -45,7 +45,8 @@
 
 using ImmediateSink = boost::log::sinks::synchronous_sink<Backend>;
 using QueuedSink = boost::log::sinks::asynchronous_sink<
-    Backend, boost::log::sinks::bounded_fifo_queue<LogQueueLines, CountingDrop>>;
+    Backend,
+    boost::log::sinks::bounded_fifo_queue<LogQueueLines, CountingDrop>>;
 
 /// The process has no sink, or one of these.
 using Sink = std::variant<std::monostate, boost::shared_ptr<ImmediateSink>,
--- a/balsamyard/src/Process/ControlAgent.cpp
+++ b/balsamyard/src/Process/ControlAgent.cpp
@@ -2,10 +2,10 @@
 #include "balsamyard/src/Core/Overload.h"
 
 #include "balsamyard/src/Connection/PeerClient.h"
+#include "balsamyard/src/Core/Log.h"
 #include "balsamyard/src/Process/Codec.h"
 #include "balsamyard/src/Process/ConfigSpread.h"
 #include "balsamyard/src/Process/GossipCodec.h"
-#include "balsamyard/src/Core/Log.h"
 #include "balsamyard/src/Process/RulesStore.h"
 #include "balsamyard/src/Version/RulesDelta.h"
 #include "balsamyard/src/Version/VersionMove.h"
--- a/balsamyard/src/Process/Discovery.cpp
+++ b/balsamyard/src/Process/Discovery.cpp
@@ -187,15 +187,15 @@
 void Discovery::setNodes(const std::set<NodeName> &Listed) {
   const auto Next =
       std::max<std::uint32_t>(static_cast<std::uint32_t>(Listed.size()), 1);
-  const auto Place = static_cast<std::uint32_t>(std::distance(
-      Listed.begin(), Listed.lower_bound(this->Settings.Node)));
+  const auto Place = static_cast<std::uint32_t>(
+      std::distance(Listed.begin(), Listed.lower_bound(this->Settings.Node)));
   if (this->NodesCounted && Next == this->Nodes && Place == this->Rank)
     return;
   this->NodesCounted = true;
   this->Rank = Place;
-  logEvent(LogLevel::Info, "nodes-counted",
-           {{"nodes", std::int64_t(Next)},
-            {"former", std::int64_t(this->Nodes)}});
+  logEvent(
+      LogLevel::Info, "nodes-counted",
+      {{"nodes", std::int64_t(Next)}, {"former", std::int64_t(this->Nodes)}});
   this->Nodes = Next;
   this->Changed = true;
 }
@@ -221,12 +221,12 @@
   }
 }
 
-void Discovery::choosePreferred(
-    const ServiceSpec &Spec, std::vector<Ref<TargetState>> &Targets) const {
+void Discovery::choosePreferred(const ServiceSpec &Spec,
+                                std::vector<Ref<TargetState>> &Targets) const {
   const std::size_t Count = Targets.size();
-  const auto Wanted = static_cast<std::size_t>(
-      UsedConnections * Spec.MaxConnections * static_cast<double>(Count) /
-      this->Nodes);
+  const auto Wanted =
+      static_cast<std::size_t>(UsedConnections * Spec.MaxConnections *
+                               static_cast<double>(Count) / this->Nodes);
   // Every node has the same order of ids and takes its place in it by its
   // rank, so that each target is preferred by about as many nodes.
   const std::size_t Turn =
@@ -282,9 +282,9 @@
   for (const Route &Served : this->Config->Routes) {
     const auto Found = Former.find(Served.Name);
     Ref<RouteStats> &Known = this->Stats[Served.Name];
-    Known = Found != Former.end() ? Found->second
-                                  : makeRef<RouteStats>(Served.LatencyGoal /
-                                                        FirstMedianPerGoal);
+    Known = Found != Former.end()
+                ? Found->second
+                : makeRef<RouteStats>(Served.LatencyGoal / FirstMedianPerGoal);
     View->Stats.push_back(Known);
   }
   return View;
--- a/balsamyard/src/Process/FleetAgent.cpp
+++ b/balsamyard/src/Process/FleetAgent.cpp
@@ -2,7 +2,6 @@
 
 #include "balsamyard/src/Core/Log.h"
 
-
 namespace balsamyard {
 
 namespace {
@@ -13,8 +12,7 @@
 } // namespace
 
 FleetAgent::FleetAgent(asio::io_context &Context, const NodeSettings &Settings,
-                       const PlatformAdapter &Adapter,
-                       RcuCell<FleetView> &View,
+                       const PlatformAdapter &Adapter, RcuCell<FleetView> &View,
                        std::function<void()> OnPublished)
     : Context(Context), Settings(Settings), Adapter(Adapter), View(View),
       OnPublished(std::move(OnPublished)), Known(Settings),
--- a/balsamyard/src/Process/Node.cpp
+++ b/balsamyard/src/Process/Node.cpp
@@ -41,22 +41,23 @@
 } // namespace
 
 PathThread::PathThread(const TargetProtocol &Protocol,
-                       const RcuCell<FleetView> &View, Metrics &Counters,
-                       std::atomic<std::uint32_t> &InFlight,
-                       std::uint64_t Seed)
+                       const RcuCell<FleetView> &View,
+                       std::atomic<std::uint32_t> &InFlight, std::uint64_t Seed,
+                       std::size_t Number)
     : Io(1), Work(asio::make_work_guard(this->Io)), View(View),
-      Channels(this->Io, Protocol), Context{this->Io, this->Channels,
-                                            Protocol, View,
-                                            Counters, InFlight, Seed},
-      Callers(this->Io,
-              ServerHooks{[this](ServerConnection &Caller, HttpRequest Request) {
-                            RequestRun::start(this->Context, Caller,
-                                              std::move(Request));
-                          },
-                          [](ServerConnection &Caller) {
-                            RequestRun::callerGone(Caller);
-                          },
-                          [this] { return limitsOf(*this->View.read()); }}),
+      Channels(this->Io, Protocol),
+      Context{this->Io,       this->Channels,
+              Protocol,       View,
+              this->Counters, InFlight,
+              Seed,           "thread=\"" + std::to_string(Number) + "\""},
+      Callers(
+          this->Io,
+          ServerHooks{
+              [this](ServerConnection &Caller, HttpRequest Request) {
+                RequestRun::start(this->Context, Caller, std::move(Request));
+              },
+              [](ServerConnection &Caller) { RequestRun::callerGone(Caller); },
+              [this] { return limitsOf(*this->View.read()); }}),
       Timer(this->Io) {}
 
 void PathThread::listen(const asio::ip::tcp::endpoint &At) {
@@ -105,36 +106,52 @@
            std::string SettingsPath, StopTimes Stops)
     : Settings(std::move(Given)), Adapter(std::move(Spoken)),
       Reread(std::move(Reread)), SettingsPath(std::move(SettingsPath)),
-      Stops(Stops),
-      Protocol(this->Adapter.Headers), View(makeRef<const FleetView>()),
-      Control(1),
+      Stops(Stops), Protocol(this->Adapter.Headers),
+      View(makeRef<const FleetView>()), Control(1),
       Agent(this->Control, this->Settings, this->Adapter, this->View,
             [this] {
               for (const auto &Path : this->Paths)
                 Path->follow(this->Paths.size());
             }),
-      Readiness(this->Control,
-                ServerHooks{[this](ServerConnection &Peer, HttpRequest Request) {
-                              this->onReadinessRequest(Peer, Request);
-                            },
-                            [](ServerConnection &) {
-                              // Its answer is not needed any more.
-                            },
-                            [] { return ServerLimits{}; }}),
+      Readiness(
+          this->Control,
+          ServerHooks{[this](ServerConnection &Peer, HttpRequest Request) {
+                        this->onReadinessRequest(Peer, Request);
+                      },
+                      [](ServerConnection &) {
+                        // Its answer is not needed any more.
+                      },
+                      [] { return ServerLimits{}; }}),
+      MetricsPage(
+          this->Control,
+          ServerHooks{[this](ServerConnection &Peer, const HttpRequest &) {
+                        const bool KeepOpen = Peer.mayKeepOpen();
+                        Peer.answer(plainAnswer(200, this->metricsText(),
+                                                KeepOpen, {},
+                                                "text/plain; version=0.0.4"),
+                                    KeepOpen);
+                      },
+                      [](ServerConnection &) {
+                        // Its answer is not needed any more.
+                      },
+                      [] { return ServerLimits{}; }}),
       Signals(this->Control, SIGTERM, SIGINT, SIGHUP), StopTimer(this->Control),
       SettingsTimer(this->Control),
       SettingsChangedAt(changeTime(this->SettingsPath)) {
   std::random_device Entropy;
   for (std::uint32_t Count = 0; Count < this->Settings.Cores; ++Count) {
     this->Paths.push_back(std::make_unique<PathThread>(
-        this->Protocol, this->View, this->Counters, this->InFlight,
-        (std::uint64_t(Entropy()) << 32) + Entropy()));
+        this->Protocol, this->View, this->InFlight,
+        (std::uint64_t(Entropy()) << 32) + Entropy(), Count));
     // All threads listen on the port that the first one got.
     if (Count > 0)
       this->Settings.Callers.Port = this->Paths.front()->port();
     this->Paths.back()->listen(toEndpoint(this->Settings.Callers));
   }
   this->Readiness.listen(toEndpoint(this->Settings.Readiness));
+  if (this->Settings.MetricsPort != 0)
+    this->MetricsPage.listen(toEndpoint(
+        {this->Settings.Callers.Address, this->Settings.MetricsPort}));
 }
 
 Node::~Node() {
@@ -153,23 +170,35 @@
 
 bool Node::isReady() const { return !this->Stopping && this->Agent.isReady(); }
 
+std::string Node::metricsText() const {
+  const Ref<const FleetView> Current = this->View.read();
+  Metrics Own;
+  Own.set("node_ready", "", this->isReady() ? 1 : 0);
+  Own.set("requests_in_flight", "", this->InFlight.load());
+  Own.set("nodes_counted", "", Current->Shares.Nodes);
+  Own.set("log_lines_dropped_total", "",
+          static_cast<double>(droppedLogLines()));
+  if (Current->Config)
+    Own.set("configuration_version", "",
+            static_cast<double>(
+                static_cast<std::uint64_t>(Current->Config->Version)));
+  std::string Text = Own.toText();
+  for (const auto &Path : this->Paths)
+    Text += Path->counters().toText();
+  return Text;
+}
+
 void Node::onReadinessRequest(ServerConnection &Peer,
                               const HttpRequest &Request) {
   const bool KeepOpen = Peer.mayKeepOpen();
-  if (Request.Target == "/metrics") {
-    Peer.answer(plainAnswer(200, this->Counters.toText(), KeepOpen, {},
-                            "text/plain; version=0.0.4"),
-                KeepOpen);
-    return;
-  }
   if (Request.Target != this->Adapter.ReadinessPath) {
     Peer.answer(plainAnswer(404, "unknown path", KeepOpen), KeepOpen);
     return;
   }
   const bool Ready = this->isReady();
-  Peer.answer(plainAnswer(Ready ? 200 : 503, Ready ? "ready" : "not ready",
-                          KeepOpen),
-              KeepOpen);
+  Peer.answer(
+      plainAnswer(Ready ? 200 : 503, Ready ? "ready" : "not ready", KeepOpen),
+      KeepOpen);
 }
 
 void Node::onSignal(int Number) {
--- a/balsamyard/src/Process/Node.h
+++ b/balsamyard/src/Process/Node.h
@@ -35,8 +35,8 @@
 class PathThread {
 public:
   PathThread(const TargetProtocol &Protocol, const RcuCell<FleetView> &View,
-             Metrics &Counters, std::atomic<std::uint32_t> &InFlight,
-             std::uint64_t Seed);
+             std::atomic<std::uint32_t> &InFlight, std::uint64_t Seed,
+             std::size_t Number);
 
   /// \brief Listens for callers; throws std::system_error if it cannot.
   void listen(const asio::ip::tcp::endpoint &At);
@@ -51,6 +51,10 @@
   void beginStop();
   void closeIdle();
 
+  /// \returns the counters of this thread; each thread has its own, so that
+  /// requests share no lock.
+  const Metrics &counters() const { return this->Counters; }
+
   /// \returns open connections of callers, as of the last tick.
   std::size_t connections() const {
     return this->ConnectionCount.load(std::memory_order_relaxed);
@@ -65,6 +69,7 @@
   asio::io_context Io;
   asio::executor_work_guard<asio::io_context::executor_type> Work;
   const RcuCell<FleetView> &View;
+  Metrics Counters;
   TargetChannels Channels;
   RequestContext Context;
   Listener Callers;
@@ -93,6 +98,7 @@
   std::uint16_t readinessPort() const { return this->Readiness.port(); }
 
 private:
+  std::string metricsText() const;
   void onReadinessRequest(ServerConnection &Peer, const HttpRequest &Request);
   void onSignal(int Number);
   void beginStop();
@@ -107,13 +113,13 @@
   const std::string SettingsPath;
   const StopTimes Stops;
   const TargetProtocol Protocol;
-  Metrics Counters;
   RcuCell<FleetView> View;
   std::atomic<std::uint32_t> InFlight{0};
   std::vector<std::unique_ptr<PathThread>> Paths;
   asio::io_context Control;
   FleetAgent Agent;
   Listener Readiness;
+  Listener MetricsPage;
   asio::signal_set Signals;
   asio::steady_timer StopTimer;
   asio::steady_timer SettingsTimer;
--- a/balsamyard/src/Process/NodeSettings.h
+++ b/balsamyard/src/Process/NodeSettings.h
@@ -37,6 +37,7 @@
   Endpoint Callers;   ///< Where callers connect.
   Endpoint Readiness; ///< Where the balancer asks whether the node is ready.
   Endpoint Store;
+  std::uint16_t MetricsPort = 0; ///< On the address for callers; 0: none.
   std::uint32_t Cores = 1;
   FleetBounds Bounds;
 };
--- a/balsamyard/src/Process/ObjectFeed.h
+++ b/balsamyard/src/Process/ObjectFeed.h
@@ -55,9 +55,9 @@
 /// \brief The time of the last WakeFeed was reached.
 struct FeedTimeReached {};
 
-using FeedInput = std::variant<FeedStarted, FeedPage, FeedEvents,
-                               FeedHistoryGone, FeedCallFailed,
-                               FeedTimeReached>;
+using FeedInput =
+    std::variant<FeedStarted, FeedPage, FeedEvents, FeedHistoryGone,
+                 FeedCallFailed, FeedTimeReached>;
 
 /// \brief Read the objects whose names come after this one.
 struct CallList {
--- a/balsamyard/src/Request/RequestRun.cpp
+++ b/balsamyard/src/Request/RequestRun.cpp
@@ -26,7 +26,8 @@
 void reject(RequestContext &Context, ServerConnection &Caller,
             const Rejection &Why) {
   Context.Counters.add("requests_rejected_total",
-                       "status=\"" + std::to_string(Why.Status) + "\"");
+                       Context.ThreadLabel + ",status=\"" +
+                           std::to_string(Why.Status) + "\"");
   logEvent(LogLevel::Info, "request-rejected",
            {{"status", std::int64_t(Why.Status)},
             {"detail", std::string(Why.Reason)}});
@@ -70,14 +71,12 @@
            {503, "no configuration is known yet", StartRetryAfter});
     return;
   }
-  const std::ptrdiff_t At =
-      View->Config->match(*Host, pathOf(Request.Target));
+  const std::ptrdiff_t At = View->Config->match(*Host, pathOf(Request.Target));
   if (At < 0) {
     reject(Context, Caller, {404, "no route matches"});
     return;
   }
-  if (Context.InFlight.load(std::memory_order_relaxed) >=
-      MaxRequestsInFlight) {
+  if (Context.InFlight.load(std::memory_order_relaxed) >= MaxRequestsInFlight) {
     reject(Context, Caller, {503, "too many requests", OverloadRetryAfter});
     return;
   }
@@ -113,9 +112,9 @@
   if (!Run)
     return;
   logEvent(LogLevel::Info, "caller-left",
-           {{"request", Run->RequestId},
-            {"age", steadyNow() - Run->Arrived}});
-  Run->Context.Counters.add("requests_abandoned_total", "");
+           {{"request", Run->RequestId}, {"age", steadyNow() - Run->Arrived}});
+  Run->Context.Counters.add("requests_abandoned_total",
+                            Run->Context.ThreadLabel);
   for (const Ref<TargetCall> &Call : Run->Calls)
     Run->Context.Channels.of(*Call->Target).abort(*Call);
   Run->release();
@@ -181,7 +180,8 @@
       this->handle(AttemptAnswered{Attempt, std::move(*Answer)});
       return;
     }
-    this->Context.Counters.add("target_answers_unusable_total", "");
+    this->Context.Counters.add("target_answers_unusable_total",
+                               this->Context.ThreadLabel);
   }
   this->handle(AttemptEnded{Attempt, Sent ? AttemptFailure::Broken
                                           : AttemptFailure::NotSent});
@@ -242,10 +242,20 @@
   const Route &Matched = this->Decisions.route();
   const Duration Age = Now - this->Arrived;
   Metrics &Metric = this->Context.Counters;
-  const std::string Labels = "route=\"" + Matched.Name.Text + "\"";
+  const std::string Labels =
+      this->Context.ThreadLabel + ",route=\"" + Matched.Name.Text + "\"";
   Metric.observe("request_seconds", Labels, Age);
   Metric.add("requests_total",
              Labels + ",status=\"" + std::to_string(Status) + "\"");
+  const auto Count = [&](std::string_view Name, std::uint32_t Amount) {
+    if (Amount > 0)
+      Metric.add(Name, Labels, Amount);
+  };
+  Count("hedges_total", Counts.Hedges);
+  Count("hedges_won_total", Counts.HedgesWon);
+  Count("retries_total", Counts.Retries);
+  Count("extra_requests_denied_total", Counts.Denied);
+  Count("shards_missing_total", Counts.Shards - Counts.Answered);
   logEvent(LogLevel::Info, "request-ended",
            {{"request", this->RequestId},
             {"route", Matched.Name.Text},
--- a/balsamyard/src/Request/RequestRun.h
+++ b/balsamyard/src/Request/RequestRun.h
@@ -26,6 +26,7 @@
   Metrics &Counters;
   std::atomic<std::uint32_t> &InFlight; ///< Of the process.
   std::uint64_t NextSeed = 0;
+  std::string ThreadLabel; ///< Of this thread's metrics.
 };
 
 /// \brief Requests that the process handles at once. Each holds its body and
--- a/balsamyard/src/Request/Scatter.cpp
+++ b/balsamyard/src/Request/Scatter.cpp
@@ -169,8 +169,8 @@
 
 std::string Scatter::describe(TimePoint Now) const {
   constexpr std::array<std::string_view, 7> Fates = {
-      "open", "answered", "not-executed", "failed", "broken", "not-sent",
-      "withdrawn"};
+      "open",   "answered", "not-executed", "failed",
+      "broken", "not-sent", "withdrawn"};
   constexpr std::array<std::string_view, 3> Places = {"domain", "region",
                                                       "far"};
   std::string Result;
@@ -185,7 +185,9 @@
         .append(Each.Target->Info.Id.Text)
         .append("@")
         .append(Places[static_cast<std::size_t>(Each.Target->Info.Far)])
-        .append(Each.Hedge ? " hedge " : Each.Extra ? " retry " : " first ")
+        .append(Each.Hedge   ? " hedge "
+                : Each.Extra ? " retry "
+                             : " first ")
         .append(Fates[static_cast<std::size_t>(Each.Result)])
         .append(" after ")
         .append(std::to_string(
@@ -260,9 +262,8 @@
   Shard &Part = this->Shards[Ended.Shard];
   if (Part.Answered || Part.GivenUp)
     return;
-  const bool Repeatable =
-      Event.Failure == AttemptFailure::NotSent ||
-      this->mayRepeat(Part, AnswerKind::Failed);
+  const bool Repeatable = Event.Failure == AttemptFailure::NotSent ||
+                          this->mayRepeat(Part, AnswerKind::Failed);
   this->repeatOrGiveUp(Ended.Shard, Repeatable, Now, Effects);
 }
 
@@ -338,8 +339,8 @@
   const bool TimeOver = Now >= this->Input.Deadline;
   if (!this->isSharded()) {
     if (this->Shards[0].Answered)
-      this->finish(
-          ForwardedAnswer{std::move(this->Shards[0].Answer.Response)}, Now, Effects);
+      this->finish(ForwardedAnswer{std::move(this->Shards[0].Answer.Response)},
+                   Now, Effects);
     else if (this->OpenShards == 0 || TimeOver)
       this->finish(this->failure(TimeOver), Now, Effects);
     return;
@@ -371,11 +372,10 @@
 
 CallerAnswer Scatter::failure(bool TimeOver) const {
   if (this->MayHaveRun == 0)
-    return NotExecutedAnswer{this->SawNotExecuted ? FullRetryAfter
-                                                  : NoTargetRetryAfter,
-                             this->SawNotExecuted
-                                 ? "every target rejected the request"
-                                 : "no target is usable"};
+    return NotExecutedAnswer{
+        this->SawNotExecuted ? FullRetryAfter : NoTargetRetryAfter,
+        this->SawNotExecuted ? "every target rejected the request"
+                             : "no target is usable"};
   if (TimeOver)
     return FailedAnswer{504, "the time of the request is over"};
   // A promise of the target's own that came without its statement is not true.
--- a/balsamyard/src/Request/TargetChoice.cpp
+++ b/balsamyard/src/Request/TargetChoice.cpp
@@ -24,9 +24,9 @@
 
 /// Times the usual answer time.
 double expectedFactor(const TargetState &Target, TimePoint Now) {
-  const double Busy = std::max<double>(Target.inFlight(),
-                                       Target.reportedLoad(Now)) /
-                      std::max<std::uint32_t>(Target.Info.Slots, 1);
+  const double Busy =
+      std::max<double>(Target.inFlight(), Target.reportedLoad(Now)) /
+      std::max<std::uint32_t>(Target.Info.Slots, 1);
   // Half of the slots in use seldom makes a request wait.
   return Target.slowness(Now) * (1 + std::max(0.0, Busy - 0.5));
 }
@@ -52,9 +52,8 @@
     if (!mayServe(*Target, Rules) ||
         std::find(Tried.begin(), Tried.end(), Target.get()) != Tried.end())
       continue;
-    if (Target->isCold(Now) &&
-        (Rules.ColdInterval == Duration::max() ||
-         !Target->hasColdPlace(Rules.ColdInterval, Now)))
+    if (Target->isCold(Now) && (Rules.ColdInterval == Duration::max() ||
+                                !Target->hasColdPlace(Rules.ColdInterval, Now)))
       continue;
     const double Factor = expectedFactor(*Target, Now);
     double Cost = Factor * distanceFactor(Target->Info.Far) *
--- a/balsamyard/src/Request/TargetChoice.h
+++ b/balsamyard/src/Request/TargetChoice.h
@@ -10,7 +10,7 @@
 
 /// \brief How the targets of a service are compared for one request.
 struct ChoiceRules {
-  Duration Usual{};      ///< \sa RouteStats::Median
+  Duration Usual{};                        ///< \sa RouteStats::Median
   Duration ColdInterval = Duration::max(); ///< \sa FleetView::coldInterval
   const std::vector<RegionName> *Regions = nullptr; ///< \sa Route::Regions
 };
--- a/balsamyard/src/Version/Configuration.h
+++ b/balsamyard/src/Version/Configuration.h
@@ -47,8 +47,9 @@
   bool Idempotent = false;
   Duration Timeout{};     ///< Longest time until the final answer.
   Duration LatencyGoal{}; ///< An answer within it has its full value.
-  std::uint32_t MaxTargets = 1; ///< Targets that a request (of each shard) may reach.
-  std::uint32_t Rank = 0;       ///< 0 is the most urgent.
+  std::uint32_t MaxTargets =
+      1;                  ///< Targets that a request (of each shard) may reach.
+  std::uint32_t Rank = 0; ///< 0 is the most urgent.
   std::vector<RegionName> Regions; ///< Empty: every region may serve it.
   Destination To;
 };
--- a/balsamyard/src/Version/FleetView.cpp
+++ b/balsamyard/src/Version/FleetView.cpp
@@ -5,10 +5,9 @@
 namespace balsamyard {
 
 Duration FleetView::coldInterval(ServiceNumber Service) const {
-  const double Bound =
-      this->Config->Services[Service].ColdRequestRate *
-          this->Shares.ColdRateFactor +
-      this->Shares.ColdSlack;
+  const double Bound = this->Config->Services[Service].ColdRequestRate *
+                           this->Shares.ColdRateFactor +
+                       this->Shares.ColdSlack;
   // Any second may hold one request more than the rate of a process says.
   const double Share = std::floor(Bound / this->Shares.Nodes) - 1;
   if (Share < 1)
--- a/balsamyard/src/Version/FleetView.h
+++ b/balsamyard/src/Version/FleetView.h
@@ -1,10 +1,10 @@
 #pragma once
 
-#include "balsamyard/src/Version/TargetState.h"
 #include "balsamyard/src/Core/LatencyQuantile.h"
 #include "balsamyard/src/Core/RefCounted.h"
-#include "balsamyard/src/Version/RetryBudget.h"
 #include "balsamyard/src/Version/Configuration.h"
+#include "balsamyard/src/Version/RetryBudget.h"
+#include "balsamyard/src/Version/TargetState.h"
 
 #include <vector>
 
--- a/balsamyard/src/Version/RetryBudget.cpp
+++ b/balsamyard/src/Version/RetryBudget.cpp
@@ -9,9 +9,8 @@
 RetryBudget::Bucket &RetryBudget::bucket(std::int64_t Epoch) {
   Bucket &Entry = this->Buckets[static_cast<std::size_t>(Epoch) % BucketCount];
   std::int64_t Former = Entry.Epoch.load(std::memory_order_relaxed);
-  if (Former != Epoch &&
-      Entry.Epoch.compare_exchange_strong(Former, Epoch,
-                                          std::memory_order_relaxed)) {
+  if (Former != Epoch && Entry.Epoch.compare_exchange_strong(
+                             Former, Epoch, std::memory_order_relaxed)) {
     Entry.Requests.store(0, std::memory_order_relaxed);
     Entry.Extras.store(0, std::memory_order_relaxed);
   }
@@ -29,7 +28,8 @@
   std::uint64_t Requests = 0;
   std::uint64_t Extras = 0;
   for (const Bucket &Entry : this->Buckets) {
-    const std::int64_t Age = Epoch - Entry.Epoch.load(std::memory_order_relaxed);
+    const std::int64_t Age =
+        Epoch - Entry.Epoch.load(std::memory_order_relaxed);
     // One bucket more than the window: its oldest part may still count.
     if (Age >= 0 && Age <= BucketsPerWindow)
       Extras += Entry.Extras.load(std::memory_order_relaxed);
--- a/balsamyard/src/Version/TargetState.cpp
+++ b/balsamyard/src/Version/TargetState.cpp
@@ -40,9 +40,9 @@
 }
 
 void TargetState::observe(Duration Latency, Duration Usual, TimePoint Now) {
-  const double Ratio = static_cast<double>(Latency.count()) /
-                       static_cast<double>(std::max<std::int64_t>(
-                           Usual.count(), 1));
+  const double Ratio =
+      static_cast<double>(Latency.count()) /
+      static_cast<double>(std::max<std::int64_t>(Usual.count(), 1));
   this->addSlowness(std::min(Ratio, MaxSlowness), Now);
 }
 
@@ -62,8 +62,8 @@
   if (Age >= LoadLifetime.count())
     return 0;
   return this->ReportedLoad.load(std::memory_order_relaxed) *
-         (1 - static_cast<double>(Age) /
-                  static_cast<double>(LoadLifetime.count()));
+         (1 -
+          static_cast<double>(Age) / static_cast<double>(LoadLifetime.count()));
 }
 
 } // namespace balsamyard
--- a/balsamyard/src/Version/TargetState.h
+++ b/balsamyard/src/Version/TargetState.h
@@ -71,7 +71,9 @@
     this->CurrentStanding.store(Value, std::memory_order_relaxed);
   }
 
-  Reach reach() const { return this->CurrentReach.load(std::memory_order_relaxed); }
+  Reach reach() const {
+    return this->CurrentReach.load(std::memory_order_relaxed);
+  }
   void setReach(Reach Value) {
     this->CurrentReach.store(Value, std::memory_order_relaxed);
   }
--- a/tests/path/FakeFleet.h
+++ b/tests/path/FakeFleet.h
@@ -31,19 +31,24 @@
       std::function<void(ServerConnection &, const HttpRequest &)> OnRequest)
       : Work(asio::make_work_guard(this->Io)),
         Server(this->Io,
-               ServerHooks{[OnRequest](ServerConnection &Peer,
-                                       HttpRequest Request) {
-                             OnRequest(Peer, Request);
-                           },
-                           [this](ServerConnection &) { ++this->Gone; },
-                           [] { return ServerLimits{}; }}) {
+               ServerHooks{
+                   [OnRequest](ServerConnection &Peer, HttpRequest Request) {
+                     OnRequest(Peer, Request);
+                   },
+                   [this](ServerConnection &) { ++this->Gone; },
+                   [] { return ServerLimits{}; }}) {
     this->Server.listen({asio::ip::make_address("127.0.0.1"), 0});
     this->Thread = std::thread([this] { this->Io.run(); });
   }
 
-  ~FakeServer() {
+  ~FakeServer() { this->stop(); }
+
+  /// \brief Handles no more requests. Connections that an owner still holds
+  /// have to be released before this object ends.
+  void stop() {
     this->Io.stop();
-    this->Thread.join();
+    if (this->Thread.joinable())
+      this->Thread.join();
   }
 
   std::string address() const {
@@ -128,10 +133,10 @@
               auto Timer =
                   std::make_shared<asio::steady_timer>(this->Server.Io);
               Timer->expires_after(How.After);
-              Timer->async_wait([this, Held, Timer,
-                                 RequestId](const asio::error_code &) {
-                Held->answer(this->whole(RequestId), true);
-              });
+              Timer->async_wait(
+                  [this, Held, Timer, RequestId](const asio::error_code &) {
+                    Held->answer(this->whole(RequestId), true);
+                  });
             },
             [&](const Doubling &) {
               Held->answer(this->whole(RequestId) + this->whole(RequestId),
@@ -165,6 +170,11 @@
           this->onRequest(Peer, Request);
         }) {}
 
+  ~FakeStore() {
+    this->Server.stop();
+    this->Watchers.clear();
+  }
+
   std::string address() const { return this->Server.address(); }
 
   /// \brief Writes an object, or removes it if \p Spec is null.
--- a/tests/path/HttpParserTest.cpp
+++ b/tests/path/HttpParserTest.cpp
@@ -131,11 +131,11 @@
   ResponseParser Reader;
   Reader.begin(true);
   WHEN("interim responses come first") {
-    const HttpProgress Progress = feed(
-        Reader,
-        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 102 P\r\n\r\n"
-        "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
-        1000);
+    const HttpProgress Progress =
+        feed(Reader,
+             "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 102 P\r\n\r\n"
+             "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+             1000);
     THEN("the final one counts") {
       REQUIRE(std::holds_alternative<HttpComplete>(Progress));
       const HttpResponse Response = Reader.take();
--- a/tests/path/NodeTest.cpp
+++ b/tests/path/NodeTest.cpp
@@ -77,9 +77,8 @@
     Settings.Callers = {"127.0.0.1", 0};
     Settings.Readiness = {"127.0.0.1", 0};
     const std::string Address = this->Store.address();
-    Settings.Store = {"127.0.0.1",
-                      static_cast<std::uint16_t>(
-                          std::stoi(Address.substr(Address.find(':') + 1)))};
+    Settings.Store = {"127.0.0.1", static_cast<std::uint16_t>(std::stoi(
+                                       Address.substr(Address.find(':') + 1)))};
     Settings.Cores = 2;
     Settings.Bounds.RetrySlack = 1000;
     this->Process = std::make_unique<Node>(
@@ -132,9 +131,9 @@
       World.add("s3", "i-3a", record('e'), Sound{}, "draining");
   World.add("s3", "i-3b", record('f'), Sound{});
   World.Store.put("servers", "i-bad", {{"service", 3}});
-  World.addRoute("/search/", {{"gather", {"s1", "s2", "s3"}},
-                              {"topK", 2},
-                              {"minCoverage", 0.5}});
+  World.addRoute(
+      "/search/",
+      {{"gather", {"s1", "s2", "s3"}}, {"topK", 2}, {"minCoverage", 0.5}});
   World.start();
 
   GIVEN("one slow, one doubling, one crossing and one leaving target") {
@@ -147,10 +146,8 @@
       for (const HttpResponse &Answer : Answers) {
         REQUIRE(Answer.Status == 200);
         const std::string Stamps = field(Answer, "X-Balsamyard-Part-Stamps");
-        const auto Parts =
-            1 + std::count(Stamps.begin(), Stamps.end(), ',');
-        CHECK(Parts +
-                  std::stoi(field(Answer, "X-Balsamyard-Missing-Parts")) ==
+        const auto Parts = 1 + std::count(Stamps.begin(), Stamps.end(), ',');
+        CHECK(Parts + std::stoi(field(Answer, "X-Balsamyard-Missing-Parts")) ==
               3);
         // A crossed answer is never a part.
         CHECK(Stamps.find("i-2b") == std::string::npos);
@@ -218,11 +215,11 @@
   FakeCaller Caller = World.caller();
 
   WHEN("a request with a body comes in chunks") {
-    const HttpResponse Answer = Caller.ask(
-        "POST /records/a?b=c HTTP/1.1\r\nHost: a.example\r\n"
-        "X-Balsamyard-Attempt-Id: id-7\r\nX-Other: kept\r\n"
-        "Connection: keep-alive, X-Private\r\nX-Private: dropped\r\n"
-        "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n");
+    const HttpResponse Answer =
+        Caller.ask("POST /records/a?b=c HTTP/1.1\r\nHost: a.example\r\n"
+                   "X-Balsamyard-Attempt-Id: id-7\r\nX-Other: kept\r\n"
+                   "Connection: keep-alive, X-Private\r\nX-Private: dropped\r\n"
+                   "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n");
     THEN("the target gets it unchanged, without fields of the connection") {
       REQUIRE(Answer.Status == 200);
       CHECK(Answer.Body == "stored");
@@ -300,8 +297,9 @@
   }
   WHEN("a header section is too large") {
     THEN("it is rejected") {
-      CHECK(Caller.ask(get("/records/x", "id",
-                           "A: " + std::string(5000, 'a') + "\r\n"))
+      CHECK(Caller
+                .ask(get("/records/x", "id",
+                         "A: " + std::string(5000, 'a') + "\r\n"))
                 .Status == 431);
     }
   }
--- a/tests/path/PathWorld.h
+++ b/tests/path/PathWorld.h
@@ -24,8 +24,7 @@
   }
 
   ServiceNumber addService(const std::string &Name) {
-    const ServiceNumber Number =
-        this->Config->numberOf(ServiceName{Name});
+    const ServiceNumber Number = this->Config->numberOf(ServiceName{Name});
     this->View->Services.resize(this->Config->Services.size());
     this->View->Services[Number].Budget = makeRef<RetryBudget>();
     return Number;
@@ -51,8 +50,7 @@
     if (!this->View->Config) {
       this->Config->index();
       this->View->Config = this->Config;
-      this->View->Stats.push_back(
-          makeRef<RouteStats>(Served.LatencyGoal / 8));
+      this->View->Stats.push_back(makeRef<RouteStats>(Served.LatencyGoal / 8));
     }
     ScatterInput Input;
     Input.View = this->View;
--- a/tests/path/PlatformTest.cpp
+++ b/tests/path/PlatformTest.cpp
@@ -232,8 +232,9 @@
       Text << File.rdbuf();
       for (const char *Name :
            {"X-Balsamyard", "pathPrefix", "warmupLeftMs", "minCoverage",
-            "trafficSplit", "maxConnections", "targetLatencyMs", "readinessAddr",
-            "nodeName", "allowedRegions", "BALSAMYARD_CONFIG\"", "allowStale"}) {
+            "trafficSplit", "maxConnections", "targetLatencyMs",
+            "readinessAddr", "nodeName", "allowedRegions",
+            "BALSAMYARD_CONFIG\"", "allowStale"}) {
         INFO(Each.path() << " " << Name);
         CHECK(Text.str().find(Name) == std::string::npos);
       }
--- a/tests/path/RetryBudgetTest.cpp
+++ b/tests/path/RetryBudgetTest.cpp
@@ -30,8 +30,8 @@
     const Duration Window = 10 * Second;
     std::size_t Most = 0;
     for (const Duration Before : {Duration(0), Window / 2, Window})
-      Most = std::max(Most, within(this->Requests, Now - Window - Before,
-                                   Now - Before));
+      Most = std::max(
+          Most, within(this->Requests, Now - Window - Before, Now - Before));
     return static_cast<double>(within(this->Extras, Now - Window, Now)) <=
            Ratio * static_cast<double>(Most) + Slack;
   }
--- a/tests/path/ScatterTest.cpp
+++ b/tests/path/ScatterTest.cpp
@@ -9,7 +9,9 @@
 namespace {
 
 /// A record whose first byte decides its rank.
-std::string record(char First) { return std::string(1, First) + "fifteen bytes.."; }
+std::string record(char First) {
+  return std::string(1, First) + "fifteen bytes..";
+}
 
 /// Four shards with two targets each.
 struct FourShards : PathWorld {
@@ -305,7 +307,8 @@
     }
     WHEN("no connection can be had") {
       Run.tell(AttemptEnded{First, AttemptFailure::NotSent});
-      THEN("the other target is asked, though the request may not be repeated") {
+      THEN(
+          "the other target is asked, though the request may not be repeated") {
         CHECK(Run.all<SubmitAttempt>().size() == 1);
       }
     }
@@ -320,8 +323,7 @@
   const ServiceNumber Large = World.addService("large");
   World.addTarget(Small, "s");
   World.addTarget(Large, "l");
-  World.Config->Routes.front().To =
-      SplitDestination{{{Small, 1}, {Large, 3}}};
+  World.Config->Routes.front().To = SplitDestination{{{Small, 1}, {Large, 3}}};
   int ToSmall = 0;
   for (std::uint64_t Seed = 0; Seed < 200; ++Seed) {
     RunningRequest Run(World, Seed);
