Open few connections while targets still count those of the former process

Ruled out: the store (every node was ready 35 ms after its start), cold targets (no target-cold in these seconds). Change: one connection to a target in the first 10 s of a process. Test: nodes that start again fit beside their former connections.

--- a/balsamyard/src/Connection/TargetChannel.cpp
+++ b/balsamyard/src/Connection/TargetChannel.cpp
@@ -82,7 +82,7 @@
 
 void TargetChannel::openLink() {
   const TimePoint Now = steadyNow();
-  if (this->Retired || this->Links.size() >= this->MaxLinks ||
+  if (this->Retired || this->Links.size() >= this->Limit.Most ||
       Now < this->NextOpen)
     return;
   auto Entry = makeRef<LinkEntry>();
@@ -283,7 +283,8 @@
   this->Target->setReach(Reach::Up);
   logEvent(LogLevel::Info, "target-reached",
            {{"target", this->Target->Info.Id.Text}, {"cold", Cold}});
-  if (Link->isOpen() && !this->Retired && this->Links.size() < this->MaxLinks) {
+  if (Link->isOpen() && !this->Retired &&
+      this->Links.size() < this->Limit.Most) {
     auto Entry = makeRef<LinkEntry>();
     Entry->Link = Link;
     Entry->Opening = false;
@@ -338,7 +339,7 @@
   if (this->Retired)
     return;
   if (this->Target->reach() == Reach::Up &&
-      this->Links.size() < this->WarmCount)
+      this->Links.size() < this->Limit.Warm)
     this->openLink();
 }
 
@@ -365,31 +366,25 @@
   return Result;
 }
 
-void TargetChannels::follow(const FleetView &View, std::size_t Threads) {
+void TargetChannels::follow(Ref<const FleetView> Next, std::size_t Threads) {
+  const TimePoint Now = steadyNow();
+  this->View = std::move(Next);
+  this->Threads = Threads;
   std::unordered_set<const TargetState *> Listed;
-  for (std::size_t At = 0; At < View.Services.size(); ++At) {
-    const ServiceSpec &Spec = View.Config->Services[At];
-    // One share stays free, for a process that starts before it is counted.
-    const std::size_t Share =
-        Spec.MaxConnections / (View.Shares.Nodes + 1) / Threads;
-    for (const Ref<TargetState> &Target : View.Services[At].Targets) {
+  for (ServiceNumber At = 0; At < this->View->Services.size(); ++At)
+    for (const Ref<TargetState> &Target : this->View->Services[At].Targets) {
       Listed.insert(Target.get());
       Ref<TargetChannel> &Known = this->Channels[Target.get()];
       if (!Known)
-        Known = makeRef<TargetChannel>(this->Context, Target, this->Protocol,
-                                       Spec.HealthPath);
+        Known =
+            makeRef<TargetChannel>(this->Context, Target, this->Protocol,
+                                   this->View->Config->Services[At].HealthPath);
       const Ref<TargetChannel> Channel = Known;
-      // While the nodes are not counted, connections are opened on demand
-      // only: all nodes start at once, and a target resets what is too many.
-      if (View.Shares.NodesCounted)
-        Channel->setLinks(std::max<std::size_t>(Share, 1),
-                          Target->preferred() ? TargetChannel::WarmLinks : 0);
-      else
-        Channel->setLinks(1, 0);
+      Channel->setLinks(this->View->linkLimit(At, Target->preferred(), Threads,
+                                              Now - this->Started));
       Channel->resume();
-      Channel->tick(steadyNow());
+      Channel->tick(Now);
     }
-  }
   for (const Ref<TargetChannel> &Channel : this->all())
     if (!Listed.contains(&Channel->target()))
       Channel->retire();
@@ -406,6 +401,11 @@
 }
 
 void TargetChannels::tick(TimePoint Now) {
+  if (!this->Ramped && this->View &&
+      Now - this->Started >= FormerLinksLifetime) {
+    this->Ramped = true;
+    this->follow(this->View, this->Threads);
+  }
   for (const Ref<TargetChannel> &Channel : this->all()) {
     Channel->tick(Now);
     if (Channel->isRetired() && Channel->isIdle())
--- a/balsamyard/src/Connection/TargetChannel.h
+++ b/balsamyard/src/Connection/TargetChannel.h
@@ -51,10 +51,6 @@
 /// wait for one.
 class TargetChannel : public RefCounted<TargetChannel> {
 public:
-  /// Connections that are kept open in advance: requests come in at any time,
-  /// and a new connection takes several milliseconds.
-  static constexpr std::size_t WarmLinks = 2;
-
   TargetChannel(asio::io_context &Context, Ref<TargetState> Target,
                 const TargetProtocol &Protocol, std::string HealthPath);
 
@@ -71,12 +67,7 @@
   /// \brief Checks deadlines, idle connections and unreachable targets.
   void tick(TimePoint Now);
 
-  /// \brief Connections that this thread may have open, and those that it
-  /// opens in advance.
-  void setLinks(std::size_t Most, std::size_t Warm) {
-    this->MaxLinks = Most;
-    this->WarmCount = std::min(Most, Warm);
-  }
+  void setLinks(LinkLimit Next) { this->Limit = Next; }
 
   /// \brief The target may get no new requests; running ones finish.
   void retire();
@@ -125,8 +116,7 @@
   const TargetProtocol &Protocol;
   const std::string HealthPath;
   const ChannelTimes Times;
-  std::size_t MaxLinks = 1;
-  std::size_t WarmCount = 0;
+  LinkLimit Limit;
   std::vector<Ref<LinkEntry>> Links;
   CallList Waiting;
   Ref<HttpLink> ProbeLink;
@@ -143,11 +133,11 @@
 class TargetChannels {
 public:
   TargetChannels(asio::io_context &Context, const TargetProtocol &Protocol)
-      : Context(Context), Protocol(Protocol) {}
+      : Context(Context), Protocol(Protocol), Started(steadyNow()) {}
 
-  /// \brief Opens channels to new targets of \p View and retires those that
+  /// \brief Opens channels to new targets of \p Next and retires those that
   /// are not in it. \p Threads share the connections of the process.
-  void follow(const FleetView &View, std::size_t Threads);
+  void follow(Ref<const FleetView> Next, std::size_t Threads);
 
   /// \returns the channel of a target, also of one that left the view while a
   /// request still refers to it.
@@ -165,6 +155,10 @@
 
   asio::io_context &Context;
   const TargetProtocol &Protocol;
+  const TimePoint Started;
+  Ref<const FleetView> View;
+  std::size_t Threads = 1;
+  bool Ramped = false; ///< The connections of a former process are gone.
   std::unordered_map<const TargetState *, Ref<TargetChannel>> Channels;
 };
 
--- a/balsamyard/src/Process/Node.cpp
+++ b/balsamyard/src/Process/Node.cpp
@@ -79,7 +79,7 @@
   asio::post(this->Io, [this, Threads] {
     const Ref<const FleetView> Current = this->View.read();
     if (Current->Config)
-      this->Channels.follow(*Current, Threads);
+      this->Channels.follow(Current, Threads);
   });
 }
 
--- a/balsamyard/src/Version/FleetView.cpp
+++ b/balsamyard/src/Version/FleetView.cpp
@@ -1,9 +1,24 @@
 #include "balsamyard/src/Version/FleetView.h"
 
+#include <algorithm>
 #include <cmath>
 
 namespace balsamyard {
 
+LinkLimit FleetView::linkLimit(ServiceNumber Service, bool Preferred,
+                               std::size_t Threads, Duration Age) const {
+  // While the nodes are not counted, connections are opened on demand only: all
+  // nodes start at once, and a target resets what is too many.
+  if (!this->Shares.NodesCounted)
+    return {1, 0};
+  // One share stays free, for a process that starts before it is counted.
+  const std::size_t Share = this->Config->Services[Service].MaxConnections /
+                            (this->Shares.Nodes + 1) / Threads;
+  const std::size_t Most =
+      Age < FormerLinksLifetime ? 1 : std::max<std::size_t>(Share, 1);
+  return {Most, Preferred ? std::min(WarmLinks, Most) : 0};
+}
+
 Duration FleetView::coldInterval(ServiceNumber Service) const {
   const double Bound = this->Config->Services[Service].ColdRequestRate *
                            this->Shares.ColdRateFactor +
--- a/tests/path/TargetChannelTest.cpp
+++ b/tests/path/TargetChannelTest.cpp
@@ -37,7 +37,7 @@
   World.input();
   const std::vector<Ref<TargetState>> Kept =
       World.View->Services[Service].Targets;
-  Channels.follow(*World.View, 1);
+  Channels.follow(World.View, 1);
 
   GIVEN("calls that wait at every target") {
     std::vector<Ref<TargetState>> Next;
@@ -57,7 +57,7 @@
     }
     WHEN("the targets leave the view") {
       World.View->Services[Service].Targets.clear();
-      Channels.follow(*World.View, 1);
+      Channels.follow(World.View, 1);
       THEN("every call ends once, and every channel is retired") {
         CHECK(Ended == 20);
         for (TargetState *Target : Old)
@@ -66,3 +66,29 @@
     }
   }
 }
+
+// After a loss of power of all nodes the targets still counted the former
+// connections and reset the new ones, so that most targets looked unreachable
+// for ten seconds.
+TEST_CASE("nodes that start again fit beside their former connections",
+          "[channel]") {
+  struct Deployment {
+    std::uint32_t Nodes;
+    std::uint32_t MaxConnections;
+  };
+  for (const Deployment &Each : {Deployment{7, 31}, Deployment{8, 26}}) {
+    PathWorld World(singleRoute(true));
+    const ServiceNumber Service = World.addService("records");
+    World.Config->Services[Service].MaxConnections = Each.MaxConnections;
+    World.View->Shares.Nodes = Each.Nodes;
+    World.View->Shares.NodesCounted = true;
+    World.input();
+    const LinkLimit Steady =
+        World.View->linkLimit(Service, true, 1, 60 * Second);
+    const LinkLimit Starting = World.View->linkLimit(Service, true, 1, Second);
+    CHECK(Steady.Warm == 2);
+    CHECK(Steady.Most * Each.Nodes <= Each.MaxConnections);
+    // A health request comes on top of the warm connections.
+    CHECK((Steady.Warm + Starting.Most) * Each.Nodes <= Each.MaxConnections);
+  }
+}
