--- a/balsamyard/src/Connection/HttpParser.h
+++ b/balsamyard/src/Connection/HttpParser.h
@@ -11,8 +11,8 @@
 
 /// \brief Largest message that a parser accepts, in bytes.
 struct HttpLimits {
-  std::size_t HeaderBytes = 64 * 1024;
-  std::size_t BodyBytes = 16 * 1024 * 1024;
+  std::size_t HeaderBytes = 64UL * 1024;
+  std::size_t BodyBytes = 16UL * 1024 * 1024;
 };
 
 /// \brief More bytes are needed.
--- a/balsamyard/src/Connection/TargetCall.h
+++ b/balsamyard/src/Connection/LinkCall.h
@@ -4,7 +4,7 @@
 #include "balsamyard/src/Core/Http.h"
 #include "balsamyard/src/Core/RefCounted.h"
 #include "balsamyard/src/Version/FleetView.h"
-#include "balsamyard/src/Version/TargetState.h"
+#include "balsamyard/src/Version/KnownTarget.h"
 
 #include <boost/intrusive/list_hook.hpp>
 #include <functional>
@@ -14,8 +14,8 @@
 
 /// \brief One request to one target, from its submission to its end. It may
 /// outlive the request of the caller that it belongs to.
-struct TargetCall : RefCounted<TargetCall> {
-  Ref<TargetState> Target;
+struct LinkCall : RefCounted<LinkCall> {
+  Ref<KnownTarget> Target;
   Ref<RouteStats> Stats;
   std::string Method;
   TimePoint Deadline{}; ///< The target stops its work by then.
--- a/balsamyard/src/Connection/ServerConnection.h
+++ b/balsamyard/src/Connection/ServerConnection.h
@@ -45,7 +45,7 @@
   static constexpr Duration LingerTime = std::chrono::seconds(1);
 
   /// Bytes of following requests that are kept while one is handled.
-  static constexpr std::size_t MaxPipelined = 64 * 1024;
+  static constexpr std::size_t MaxPipelined = 64UL * 1024;
 
   /// \p Hooks outlives the connection.
   ServerConnection(asio::ip::tcp::socket Socket, const ServerHooks &Hooks);
--- a/balsamyard/src/Connection/StoreChannel.cpp
+++ b/balsamyard/src/Connection/StoreChannel.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 /// A list of objects holds about 1 MB at most.
-constexpr HttpLimits StoreLimits{64 * 1024, 8 * 1024 * 1024};
+constexpr HttpLimits StoreLimits{64UL * 1024, 8UL * 1024 * 1024};
 
 } // namespace
 
--- a/balsamyard/src/Connection/TargetChannel.cpp
+++ b/balsamyard/src/Connection/TargetChannel.cpp
@@ -9,7 +9,7 @@
 
 namespace balsamyard {
 
-TargetChannel::TargetChannel(asio::io_context &Context, Ref<TargetState> Target,
+TargetChannel::TargetChannel(asio::io_context &Context, Ref<KnownTarget> Target,
                              const TargetProtocol &Protocol,
                              std::string HealthPath)
     : Context(Context), Target(std::move(Target)), Protocol(Protocol),
@@ -21,7 +21,7 @@
       [](const Ref<LinkEntry> &Entry) { return !Entry->Opening; }));
 }
 
-void TargetChannel::submit(Ref<TargetCall> Call) {
+void TargetChannel::submit(Ref<LinkCall> Call) {
   this->Target->started();
   if (this->Retired || this->Target->reach() == Reach::Down) {
     // Later, because the caller of submit() is not done with its request.
@@ -56,7 +56,7 @@
       this->remove(*Chosen);
       continue;
     }
-    Ref<TargetCall> Call(&this->Waiting.front(), false);
+    Ref<LinkCall> Call(&this->Waiting.front(), false);
     this->Waiting.pop_front();
     this->run(*Chosen, std::move(Call));
   }
@@ -65,7 +65,7 @@
     this->openLink();
 }
 
-void TargetChannel::run(LinkEntry &Entry, Ref<TargetCall> Call) {
+void TargetChannel::run(LinkEntry &Entry, Ref<LinkCall> Call) {
   const TimePoint Now = steadyNow();
   Call->Sent = true;
   Call->SentAt = Now;
@@ -136,7 +136,7 @@
     this->dispatch();
 }
 
-void TargetChannel::observe(TargetCall &Call,
+void TargetChannel::observe(LinkCall &Call,
                             const Expected<HttpResponse> &Result,
                             TimePoint Now) {
   if (!Result) {
@@ -158,7 +158,7 @@
   Call.Stats->Late.observe(Latency);
 }
 
-void TargetChannel::endCall(TargetCall &Call, Expected<HttpResponse> Result) {
+void TargetChannel::endCall(LinkCall &Call, Expected<HttpResponse> Result) {
   this->Target->ended();
   if (Call.Late)
     this->Target->lateEnded();
@@ -173,7 +173,7 @@
 void TargetChannel::onAnswer(const Ref<LinkEntry> &Entry,
                              Expected<HttpResponse> Result) {
   const Ref<TargetChannel> Self(this);
-  const Ref<TargetCall> Call = std::move(Entry->Running);
+  const Ref<LinkCall> Call = std::move(Entry->Running);
   this->observe(*Call, Result, steadyNow());
   const bool Alive = Entry->Link->isOpen();
   const bool Broken = !Result;
@@ -186,16 +186,16 @@
   this->dispatch();
 }
 
-void TargetChannel::withdraw(TargetCall &Call) {
+void TargetChannel::withdraw(LinkCall &Call) {
   if (Call.Sent || !Call.Hook.is_linked())
     return;
   Call.detach();
   this->Waiting.erase(this->Waiting.iterator_to(Call));
   this->Target->ended();
-  Ref<TargetCall> Released(&Call, false);
+  Ref<LinkCall> Released(&Call, false);
 }
 
-void TargetChannel::abort(TargetCall &Call) {
+void TargetChannel::abort(LinkCall &Call) {
   Call.detach();
   if (!Call.Sent) {
     this->withdraw(Call);
@@ -205,7 +205,7 @@
     if (Entry->Running.get() != &Call)
       continue;
     const Ref<LinkEntry> Held = Entry;
-    const Ref<TargetCall> Ended = std::move(Held->Running);
+    const Ref<LinkCall> Ended = std::move(Held->Running);
     Held->Link->close();
     this->remove(*Held);
     this->endCall(*Ended, fail(Code::Cancelled, "the caller left"));
@@ -216,7 +216,7 @@
 
 void TargetChannel::failWaiting() {
   while (!this->Waiting.empty()) {
-    const Ref<TargetCall> Call(&this->Waiting.front(), false);
+    const Ref<LinkCall> Call(&this->Waiting.front(), false);
     this->Waiting.pop_front();
     this->endCall(*Call, fail(Code::PeerUnreachable, "no connection"));
   }
@@ -370,9 +370,9 @@
   const TimePoint Now = steadyNow();
   this->View = std::move(Next);
   this->Threads = Threads;
-  std::unordered_set<const TargetState *> Listed;
+  std::unordered_set<const KnownTarget *> Listed;
   for (ServiceNumber At = 0; At < this->View->Services.size(); ++At)
-    for (const Ref<TargetState> &Target : this->View->Services[At].Targets) {
+    for (const Ref<KnownTarget> &Target : this->View->Services[At].Targets) {
       Listed.insert(Target.get());
       Ref<TargetChannel> &Known = this->Channels[Target.get()];
       if (!Known)
@@ -390,10 +390,10 @@
       Channel->retire();
 }
 
-TargetChannel &TargetChannels::of(TargetState &Target) {
+TargetChannel &TargetChannels::of(KnownTarget &Target) {
   Ref<TargetChannel> &Channel = this->Channels[&Target];
   if (!Channel) {
-    Channel = makeRef<TargetChannel>(this->Context, Ref<TargetState>(&Target),
+    Channel = makeRef<TargetChannel>(this->Context, Ref<KnownTarget>(&Target),
                                      this->Protocol, "/");
     Channel->retire();
   }
--- a/balsamyard/src/Connection/TargetChannel.h
+++ b/balsamyard/src/Connection/TargetChannel.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "balsamyard/src/Connection/HttpLink.h"
-#include "balsamyard/src/Connection/TargetCall.h"
+#include "balsamyard/src/Connection/LinkCall.h"
 #include "balsamyard/src/Connection/TargetProtocol.h"
-#include "balsamyard/src/Version/TargetState.h"
+#include "balsamyard/src/Version/KnownTarget.h"
 
 #include <boost/intrusive/list.hpp>
 #include <unordered_map>
@@ -51,18 +51,18 @@
 /// wait for one.
 class TargetChannel : public RefCounted<TargetChannel> {
 public:
-  TargetChannel(asio::io_context &Context, Ref<TargetState> Target,
+  TargetChannel(asio::io_context &Context, Ref<KnownTarget> Target,
                 const TargetProtocol &Protocol, std::string HealthPath);
 
   /// \brief Sends the call as soon as a connection is free.
-  void submit(Ref<TargetCall> Call);
+  void submit(Ref<LinkCall> Call);
 
   /// \brief Takes back a call that was not sent.
-  void withdraw(TargetCall &Call);
+  void withdraw(LinkCall &Call);
 
   /// \brief Ends a call at once; if it was sent, its connection is closed, and
   /// the target drops the work.
-  void abort(TargetCall &Call);
+  void abort(LinkCall &Call);
 
   /// \brief Checks deadlines, idle connections and unreachable targets.
   void tick(TimePoint Now);
@@ -76,7 +76,7 @@
   /// whether it is cold.
   void resume();
 
-  const TargetState &target() const { return *this->Target; }
+  const KnownTarget &target() const { return *this->Target; }
   bool isRetired() const { return this->Retired; }
   bool isIdle() const { return this->Links.empty() && this->Waiting.empty(); }
   std::size_t links() const { return this->Links.size(); }
@@ -84,19 +84,19 @@
 private:
   struct LinkEntry : RefCounted<LinkEntry> {
     Ref<HttpLink> Link;
-    Ref<TargetCall> Running;
+    Ref<LinkCall> Running;
     TimePoint OpenedAt{};
     bool Opening = true;
   };
 
   using CallList = boost::intrusive::list<
-      TargetCall,
+      LinkCall,
       boost::intrusive::member_hook<
-          TargetCall, boost::intrusive::list_member_hook<>, &TargetCall::Hook>>;
+          LinkCall, boost::intrusive::list_member_hook<>, &LinkCall::Hook>>;
 
   void openLink();
   void dispatch();
-  void run(LinkEntry &Entry, Ref<TargetCall> Call);
+  void run(LinkEntry &Entry, Ref<LinkCall> Call);
   void onAnswer(const Ref<LinkEntry> &Entry, Expected<HttpResponse> Result);
   void onLinkLost(const LinkEntry &Entry, bool Expected);
   void onIdleClose(const LinkEntry &Entry, TimePoint Now);
@@ -105,14 +105,14 @@
   void probe();
   void onProbe(Expected<HttpResponse> Result);
   void probeFailed();
-  void endCall(TargetCall &Call, Expected<HttpResponse> Result);
+  void endCall(LinkCall &Call, Expected<HttpResponse> Result);
   void failWaiting();
-  void observe(TargetCall &Call, const Expected<HttpResponse> &Result,
+  void observe(LinkCall &Call, const Expected<HttpResponse> &Result,
                TimePoint Now);
   std::size_t openLinks() const;
 
   asio::io_context &Context;
-  const Ref<TargetState> Target;
+  const Ref<KnownTarget> Target;
   const TargetProtocol &Protocol;
   const std::string HealthPath;
   const ChannelTimes Times;
@@ -141,7 +141,7 @@
 
   /// \returns the channel of a target, also of one that left the view while a
   /// request still refers to it.
-  TargetChannel &of(TargetState &Target);
+  TargetChannel &of(KnownTarget &Target);
 
   void tick(TimePoint Now);
 
@@ -159,7 +159,7 @@
   Ref<const FleetView> View;
   std::size_t Threads = 1;
   bool Ramped = false; ///< The connections of a former process are gone.
-  std::unordered_map<const TargetState *, Ref<TargetChannel>> Channels;
+  std::unordered_map<const KnownTarget *, Ref<TargetChannel>> Channels;
 };
 
 } // namespace balsamyard
--- a/balsamyard/src/Connection/TargetProtocol.cpp
+++ b/balsamyard/src/Connection/TargetProtocol.cpp
@@ -107,7 +107,7 @@
   return Value == nullptr ? std::string_view() : std::string_view(*Value);
 }
 
-void TargetProtocol::readLoad(const HttpResponse &Response, TargetState &Target,
+void TargetProtocol::readLoad(const HttpResponse &Response, KnownTarget &Target,
                               TimePoint Now) const {
   const std::string *Value = Response.Fields.find(this->Names.Load);
   if (Value == nullptr)
@@ -168,12 +168,12 @@
   return Message;
 }
 
-std::optional<TargetAnswer>
+std::optional<PartAnswer>
 TargetProtocol::read(HttpResponse Response, std::string_view RequestId) const {
   const std::string *Echo = Response.Fields.find(this->Names.RequestId);
   if (Echo != nullptr && *Echo != RequestId)
     return std::nullopt;
-  TargetAnswer Answer;
+  PartAnswer Answer;
   if (Response.Status == 421 ||
       Response.Fields.find(this->Names.NotExecuted) != nullptr) {
     Answer.Kind = AnswerKind::NotExecuted;
--- a/balsamyard/src/Connection/TargetProtocol.h
+++ b/balsamyard/src/Connection/TargetProtocol.h
@@ -3,7 +3,7 @@
 #include "balsamyard/src/Core/Answer.h"
 #include "balsamyard/src/Core/Names.h"
 #include "balsamyard/src/Core/Time.h"
-#include "balsamyard/src/Version/TargetState.h"
+#include "balsamyard/src/Version/KnownTarget.h"
 
 #include <optional>
 #include <string>
@@ -45,8 +45,8 @@
 
   /// \returns what \p Response says about the request \p RequestId, or nothing
   /// if it belongs to another request or is not usable.
-  std::optional<TargetAnswer> read(HttpResponse Response,
-                                   std::string_view RequestId) const;
+  std::optional<PartAnswer> read(HttpResponse Response,
+                                 std::string_view RequestId) const;
 
   /// \returns the id of the request, empty if it has none.
   std::string_view requestId(const HttpRequest &Request) const;
@@ -61,7 +61,7 @@
   std::string_view targetId(const HttpResponse &Response) const;
 
   /// \brief Stores the load that the response reports in \p Target.
-  void readLoad(const HttpResponse &Response, TargetState &Target,
+  void readLoad(const HttpResponse &Response, KnownTarget &Target,
                 TimePoint Now) const;
 
   /// \returns the message that carries an outcome to the caller.
--- a/balsamyard/src/Core/Answer.h
+++ b/balsamyard/src/Core/Answer.h
@@ -19,7 +19,7 @@
 };
 
 /// \brief A whole answer of a target to this request.
-struct TargetAnswer {
+struct PartAnswer {
   AnswerKind Kind = AnswerKind::Failed;
   std::string Receipt;
   HttpResponse Response;
--- a/balsamyard/src/Process/Discovery.cpp
+++ b/balsamyard/src/Process/Discovery.cpp
@@ -100,7 +100,7 @@
     if (Known.State)
       Known.State->setStanding(Standing::Gone);
     Known = {};
-    Known.State = makeRef<TargetState>(Info);
+    Known.State = makeRef<KnownTarget>(Info);
     this->Changed = true;
     logEvent(LogLevel::Info, "target-announced",
              {{"target", Info.Id.Text},
@@ -222,7 +222,7 @@
 }
 
 void Discovery::choosePreferred(const ServiceSpec &Spec,
-                                std::vector<Ref<TargetState>> &Targets) const {
+                                std::vector<Ref<KnownTarget>> &Targets) const {
   const std::size_t Count = Targets.size();
   const auto Wanted =
       static_cast<std::size_t>(UsedConnections * Spec.MaxConnections *
@@ -232,8 +232,8 @@
   const std::size_t Turn =
       this->Rank + XXH3_64bits(Spec.Name.Text.data(), Spec.Name.Text.size()) %
                        std::max<std::size_t>(Count, 1);
-  const auto Nearer = [](const Ref<TargetState> &Left,
-                         const Ref<TargetState> &Right) {
+  const auto Nearer = [](const Ref<KnownTarget> &Left,
+                         const Ref<KnownTarget> &Right) {
     return Left->Info.Far < Right->Info.Far;
   };
   std::stable_sort(Targets.begin(), Targets.end(), Nearer);
@@ -263,7 +263,7 @@
   if (!this->Config)
     return View;
   View->Config = this->Config;
-  std::map<ServiceName, std::vector<Ref<TargetState>>> ByService;
+  std::map<ServiceName, std::vector<Ref<KnownTarget>>> ByService;
   for (const auto &[Id, Known] : this->Targets)
     if (Known.State->standing() == Standing::Serving)
       ByService[Known.State->Info.Service].push_back(Known.State);
--- a/balsamyard/src/Process/Discovery.h
+++ b/balsamyard/src/Process/Discovery.h
@@ -61,7 +61,7 @@
 
 private:
   struct Entry {
-    Ref<TargetState> State;
+    Ref<KnownTarget> State;
     std::optional<TimePoint> WithdrawnUntil;
     bool Leaving = false;
   };
@@ -71,7 +71,7 @@
   RegionName regionOf(const DomainName &Domain) const;
   Duration withdrawalHold(TimePoint Now) const;
   void choosePreferred(const ServiceSpec &Spec,
-                       std::vector<Ref<TargetState>> &Targets) const;
+                       std::vector<Ref<KnownTarget>> &Targets) const;
 
   const NodeSettings Settings;
   Ref<const Configuration> Config;
--- a/balsamyard/src/Request/RequestRun.cpp
+++ b/balsamyard/src/Request/RequestRun.cpp
@@ -115,7 +115,7 @@
            {{"request", Run->RequestId}, {"age", steadyNow() - Run->Arrived}});
   Run->Context.Counters.add("requests_abandoned_total",
                             Run->Context.ThreadLabel);
-  for (const Ref<TargetCall> &Call : Run->Calls)
+  for (const Ref<LinkCall> &Call : Run->Calls)
     Run->Context.Channels.of(*Call->Target).abort(*Call);
   Run->release();
 }
@@ -125,7 +125,7 @@
     return;
   this->Released = true;
   this->Timer.cancel();
-  for (const Ref<TargetCall> &Call : this->Calls)
+  for (const Ref<LinkCall> &Call : this->Calls)
     Call->detach();
   this->Caller->Attached = nullptr;
   this->Context.InFlight.fetch_sub(1, std::memory_order_relaxed);
@@ -146,8 +146,8 @@
 }
 
 void RequestRun::on(const SubmitAttempt &Effect) {
-  auto Call = makeRef<TargetCall>();
-  Call->Target = Ref<TargetState>(&this->Decisions.targetOf(Effect.Attempt));
+  auto Call = makeRef<LinkCall>();
+  Call->Target = Ref<KnownTarget>(&this->Decisions.targetOf(Effect.Attempt));
   const ScatterInput &Input = this->Decisions.input();
   Call->Stats = Input.View->Stats[Input.RouteAt];
   Call->Method = this->Request.Method;
@@ -175,7 +175,7 @@
 void RequestRun::onEnd(AttemptIndex Attempt, Expected<HttpResponse> Result,
                        bool Sent) {
   if (Result) {
-    if (std::optional<TargetAnswer> Answer =
+    if (std::optional<PartAnswer> Answer =
             this->Context.Protocol.read(std::move(*Result), this->RequestId)) {
       this->handle(AttemptAnswered{Attempt, std::move(*Answer)});
       return;
@@ -183,12 +183,12 @@
     this->Context.Counters.add("target_answers_unusable_total",
                                this->Context.ThreadLabel);
   }
-  this->handle(AttemptEnded{Attempt, Sent ? AttemptFailure::Broken
-                                          : AttemptFailure::NotSent});
+  this->handle(AttemptLost{Attempt, Sent ? AttemptFailure::Broken
+                                         : AttemptFailure::NotSent});
 }
 
 void RequestRun::on(const WithdrawAttempt &Effect) {
-  TargetCall &Call = *this->Calls[Effect.Attempt];
+  LinkCall &Call = *this->Calls[Effect.Attempt];
   this->Context.Channels.of(*Call.Target).withdraw(Call);
 }
 
--- a/balsamyard/src/Request/RequestRun.h
+++ b/balsamyard/src/Request/RequestRun.h
@@ -70,7 +70,7 @@
   const std::string SharedPart;
   Scatter Decisions;
   asio::steady_timer Timer;
-  std::vector<Ref<TargetCall>> Calls; ///< By AttemptIndex.
+  std::vector<Ref<LinkCall>> Calls; ///< By AttemptIndex.
   TimePoint Arrived;
   TimePoint WakeAt{};
   bool Released = false;
--- a/balsamyard/src/Request/Scatter.cpp
+++ b/balsamyard/src/Request/Scatter.cpp
@@ -144,7 +144,7 @@
   ++Part.OpenCount;
   ++Part.QueuedCount;
   Attempt Next;
-  Next.Target = Ref<TargetState>(Choice.Target);
+  Next.Target = Ref<KnownTarget>(Choice.Target);
   Next.Shard = ShardAt;
   Next.Extra = Extra;
   Next.Hedge = Hedge;
@@ -250,7 +250,7 @@
                        Now, Effects);
 }
 
-void Scatter::on(const AttemptEnded &Event, TimePoint Now,
+void Scatter::on(const AttemptLost &Event, TimePoint Now,
                  ScatterEffects &Effects) {
   Attempt &Ended = this->Attempts[Event.Attempt];
   if (Ended.Current == State::Ended)
--- a/balsamyard/src/Request/Scatter.h
+++ b/balsamyard/src/Request/Scatter.h
@@ -40,11 +40,11 @@
 /// \brief The target answered.
 struct AttemptAnswered {
   AttemptIndex Attempt = 0;
-  TargetAnswer Answer;
+  PartAnswer Answer;
 };
 
 /// \brief There will be no answer.
-struct AttemptEnded {
+struct AttemptLost {
   AttemptIndex Attempt = 0;
   AttemptFailure Failure = AttemptFailure::Broken;
 };
@@ -53,7 +53,7 @@
 struct ScatterTimeReached {};
 
 using ScatterEvent = std::variant<ScatterStarted, AttemptSent, AttemptAnswered,
-                                  AttemptEnded, ScatterTimeReached>;
+                                  AttemptLost, ScatterTimeReached>;
 
 /// \brief Send the request to the target of this attempt.
 struct SubmitAttempt {
@@ -113,7 +113,7 @@
   /// \returns the outcome of a finished request. Call once.
   CallerAnswer takeOutcome();
 
-  TargetState &targetOf(AttemptIndex Attempt) const {
+  KnownTarget &targetOf(AttemptIndex Attempt) const {
     return *this->Attempts[Attempt].Target;
   }
 
@@ -154,7 +154,7 @@
   };
 
   struct Attempt {
-    Ref<TargetState> Target;
+    Ref<KnownTarget> Target;
     std::uint32_t Shard = 0;
     State Current = State::Queued;
     bool Extra = false; ///< Its arrival counts against the budget.
@@ -167,19 +167,19 @@
 
   struct Shard {
     ServiceNumber Service = 0;
-    std::vector<const TargetState *> Tried;
+    std::vector<const KnownTarget *> Tried;
     std::uint32_t SentCount = 0;   ///< Attempts that may have arrived.
     std::uint32_t QueuedCount = 0; ///< Attempts that wait for a connection.
     std::uint32_t OpenCount = 0;
     bool Answered = false;
     bool GivenUp = false;
-    TargetAnswer Answer;
+    PartAnswer Answer;
   };
 
   void on(const ScatterStarted &Event, TimePoint Now, ScatterEffects &Effects);
   void on(const AttemptSent &Event, TimePoint Now, ScatterEffects &Effects);
   void on(AttemptAnswered &Event, TimePoint Now, ScatterEffects &Effects);
-  void on(const AttemptEnded &Event, TimePoint Now, ScatterEffects &Effects);
+  void on(const AttemptLost &Event, TimePoint Now, ScatterEffects &Effects);
   void on(const ScatterTimeReached &Event, TimePoint Now,
           ScatterEffects &Effects);
 
--- a/balsamyard/src/Request/TargetChoice.cpp
+++ b/balsamyard/src/Request/TargetChoice.cpp
@@ -23,7 +23,7 @@
 }
 
 /// Times the usual answer time.
-double expectedFactor(const TargetState &Target, TimePoint Now) {
+double expectedFactor(const KnownTarget &Target, TimePoint Now) {
   const double Busy =
       std::max<double>(Target.inFlight(), Target.reportedLoad(Now)) /
       std::max<std::uint32_t>(Target.Info.Slots, 1);
@@ -31,7 +31,7 @@
   return Target.slowness(Now) * (1 + std::max(0.0, Busy - 0.5));
 }
 
-bool mayServe(const TargetState &Target, const ChoiceRules &Rules) {
+bool mayServe(const KnownTarget &Target, const ChoiceRules &Rules) {
   if (Target.standing() != Standing::Serving || Target.reach() == Reach::Down)
     return false;
   return Rules.Regions == nullptr || Rules.Regions->empty() ||
@@ -42,13 +42,13 @@
 } // namespace
 
 TargetChoice chooseTarget(const ServiceEntry &Service, const ChoiceRules &Rules,
-                          const std::vector<const TargetState *> &Tried,
+                          const std::vector<const KnownTarget *> &Tried,
                           TimePoint Now, Draws &Random) {
   constexpr std::uint32_t NoiseSteps = 1024;
-  TargetState *Best = nullptr;
+  KnownTarget *Best = nullptr;
   double BestCost = 0;
   double BestFactor = 0;
-  for (const Ref<TargetState> &Target : Service.Targets) {
+  for (const Ref<KnownTarget> &Target : Service.Targets) {
     if (!mayServe(*Target, Rules) ||
         std::find(Tried.begin(), Tried.end(), Target.get()) != Tried.end())
       continue;
--- a/balsamyard/src/Request/TargetChoice.h
+++ b/balsamyard/src/Request/TargetChoice.h
@@ -17,7 +17,7 @@
 
 /// \brief A chosen target and when it will probably answer.
 struct TargetChoice {
-  TargetState *Target = nullptr; ///< Null: there is none.
+  KnownTarget *Target = nullptr; ///< Null: there is none.
   Duration Expected{};
 };
 
@@ -42,7 +42,7 @@
 /// \returns the target of \p Service that will probably answer first and is
 /// not in \p Tried. Cold, leaving and unreachable targets are passed over.
 TargetChoice chooseTarget(const ServiceEntry &Service, const ChoiceRules &Rules,
-                          const std::vector<const TargetState *> &Tried,
+                          const std::vector<const KnownTarget *> &Tried,
                           TimePoint Now, Draws &Random);
 
 } // namespace balsamyard
--- a/balsamyard/src/Version/Configuration.h
+++ b/balsamyard/src/Version/Configuration.h
@@ -65,8 +65,8 @@
 
 /// \brief Bounds of what a caller may send.
 struct CallerLimits {
-  std::size_t HeaderBytes = 64 * 1024;
-  std::size_t BodyBytes = 1024 * 1024;
+  std::size_t HeaderBytes = 64UL * 1024;
+  std::size_t BodyBytes = 1024UL * 1024;
   Duration HeaderTimeout = std::chrono::seconds(10);
   Duration IdleTimeout = std::chrono::seconds(60);
 };
--- a/balsamyard/src/Version/FleetView.h
+++ b/balsamyard/src/Version/FleetView.h
@@ -3,8 +3,8 @@
 #include "balsamyard/src/Core/LatencyQuantile.h"
 #include "balsamyard/src/Core/RefCounted.h"
 #include "balsamyard/src/Version/Configuration.h"
+#include "balsamyard/src/Version/KnownTarget.h"
 #include "balsamyard/src/Version/RetryBudget.h"
-#include "balsamyard/src/Version/TargetState.h"
 
 #include <vector>
 
@@ -33,7 +33,7 @@
 
 /// \brief A service and the targets that may get its requests.
 struct ServiceEntry {
-  std::vector<Ref<TargetState>> Targets;
+  std::vector<Ref<KnownTarget>> Targets;
   Ref<RetryBudget> Budget;
 };
 
--- a/balsamyard/src/Version/TargetState.cpp
+++ b/balsamyard/src/Version/KnownTarget.cpp
@@ -1,4 +1,4 @@
-#include "balsamyard/src/Version/TargetState.h"
+#include "balsamyard/src/Version/KnownTarget.h"
 
 #include <algorithm>
 #include <cmath>
@@ -11,19 +11,19 @@
 
 } // namespace
 
-bool TargetState::hasColdPlace(Duration Interval, TimePoint Now) const {
+bool KnownTarget::hasColdPlace(Duration Interval, TimePoint Now) const {
   return toMicros(Now) - this->LastColdMicros.load(std::memory_order_relaxed) >=
          Interval.count();
 }
 
-bool TargetState::takeColdPlace(Duration Interval, TimePoint Now) {
+bool KnownTarget::takeColdPlace(Duration Interval, TimePoint Now) {
   std::int64_t Former = this->LastColdMicros.load(std::memory_order_relaxed);
   return toMicros(Now) - Former >= Interval.count() &&
          this->LastColdMicros.compare_exchange_strong(
              Former, toMicros(Now), std::memory_order_relaxed);
 }
 
-double TargetState::slowness(TimePoint Now) const {
+double KnownTarget::slowness(TimePoint Now) const {
   const double Excess = this->Slowness.load(std::memory_order_relaxed) - 1;
   const double Idle = static_cast<double>(
       toMicros(Now) - this->ObservedAtMicros.load(std::memory_order_relaxed));
@@ -32,31 +32,31 @@
   return 1 + Excess * std::exp2(-Idle / static_cast<double>(HalfLife.count()));
 }
 
-void TargetState::addSlowness(double Value, TimePoint Now) {
+void KnownTarget::addSlowness(double Value, TimePoint Now) {
   const double Former = this->slowness(Now);
   this->Slowness.store(Former + ObservationWeight * (Value - Former),
                        std::memory_order_relaxed);
   this->ObservedAtMicros.store(toMicros(Now), std::memory_order_relaxed);
 }
 
-void TargetState::observe(Duration Latency, Duration Usual, TimePoint Now) {
+void KnownTarget::observe(Duration Latency, Duration Usual, TimePoint Now) {
   const double Ratio =
       static_cast<double>(Latency.count()) /
       static_cast<double>(std::max<std::int64_t>(Usual.count(), 1));
   this->addSlowness(std::min(Ratio, MaxSlowness), Now);
 }
 
-void TargetState::observeFailure(TimePoint Now) {
+void KnownTarget::observeFailure(TimePoint Now) {
   this->addSlowness(MaxSlowness, Now);
 }
 
-void TargetState::reportLoad(std::uint32_t Running, std::uint32_t Waiting,
+void KnownTarget::reportLoad(std::uint32_t Running, std::uint32_t Waiting,
                              TimePoint Now) {
   this->ReportedLoad.store(Running + Waiting, std::memory_order_relaxed);
   this->ReportedAtMicros.store(toMicros(Now), std::memory_order_relaxed);
 }
 
-double TargetState::reportedLoad(TimePoint Now) const {
+double KnownTarget::reportedLoad(TimePoint Now) const {
   const std::int64_t Age =
       toMicros(Now) - this->ReportedAtMicros.load(std::memory_order_relaxed);
   if (Age >= LoadLifetime.count())
--- a/balsamyard/src/Version/TargetState.h
+++ b/balsamyard/src/Version/KnownTarget.h
@@ -42,9 +42,9 @@
 ///
 /// Every member may be called from any thread. Concurrent observations may
 /// overwrite each other; the averages are estimates and need no exact count.
-class TargetState : public RefCounted<TargetState> {
+class KnownTarget : public RefCounted<KnownTarget> {
 public:
-  explicit TargetState(TargetInfo Info) : Info(std::move(Info)) {}
+  explicit KnownTarget(TargetInfo Info) : Info(std::move(Info)) {}
 
   const TargetInfo Info;
 
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -18,9 +18,9 @@
   CACHE=${XDG_CACHE_HOME:-$HOME/.cache}/balsamyard-tidy
   mkdir -p "$CACHE"
   export BUILD CACHE
-  git ls-files 'balsamyard/*.cpp' 'apps/*.cpp' 'tests/*.cpp' 'bench/*.cpp' 'fuzz/*.cpp' |
+  git ls-files 'balsamyard/*.cpp' 'platform/*.cpp' 'apps/*.cpp' 'tests/*.cpp' 'bench/*.cpp' 'fuzz/*.cpp' |
     xargs -r -P "$(nproc)" -n 1 bash -c '
       KEY=$( (cat .clang-tidy "$0"; cat $(git ls-files "*.h")) | sha256sum | cut -c1-32)
       [ -e "$CACHE/$KEY" ] && exit 0
-      clang-tidy -p "$BUILD" --quiet "$0" 2>/dev/null && touch "$CACHE/$KEY"'
+      clang-tidy -p "$BUILD" --quiet --extra-arg=-Wno-unknown-warning-option "$0" 2>/dev/null && touch "$CACHE/$KEY"'
 fi
--- a/tests/path/DiscoveryTest.cpp
+++ b/tests/path/DiscoveryTest.cpp
@@ -89,12 +89,12 @@
 
   GIVEN("a target that starts again under its id") {
     const Ref<const FleetView> Before = Known.build();
-    const Ref<TargetState> Former = Before->Services[0].Targets[0];
+    const Ref<KnownTarget> Former = Before->Services[0].Targets[0];
     Former->observe(Second, Millisecond, Now);
     Known.announce(announcement("one", "east", 2), Now);
     const Ref<const FleetView> After = Known.build();
     THEN("nothing that was learned of the former process holds for it") {
-      const Ref<TargetState> Next = After->Services[0].Targets[0];
+      const Ref<KnownTarget> Next = After->Services[0].Targets[0];
       CHECK(Next.get() != Former.get());
       CHECK(Next->slowness(Now) == Approx(1.0));
       CHECK(Former->standing() == Standing::Gone);
@@ -171,7 +171,7 @@
     const Ref<const FleetView> View = Known.build();
     for (const ServiceEntry &Service : View->Services) {
       std::size_t Preferred = 0;
-      for (const Ref<TargetState> &Target : Service.Targets) {
+      for (const Ref<KnownTarget> &Target : Service.Targets) {
         Preferred += Target->preferred() ? 1 : 0;
         PreferredBy[Target->Info.Id.Text] += Target->preferred() ? 1 : 0;
         if (Target->Info.Far == Distance::SameDomain)
--- a/tests/path/FakeFleet.h
+++ b/tests/path/FakeFleet.h
@@ -27,8 +27,8 @@
 /// its own.
 class FakeServer {
 public:
-  explicit FakeServer(
-      std::function<void(ServerConnection &, const HttpRequest &)> OnRequest)
+  explicit FakeServer(const std::function<void(ServerConnection &,
+                                               const HttpRequest &)> &OnRequest)
       : Work(asio::make_work_guard(this->Io)),
         Server(this->Io,
                ServerHooks{
--- a/tests/path/PathWorld.h
+++ b/tests/path/PathWorld.h
@@ -30,7 +30,7 @@
     return Number;
   }
 
-  TargetState &addTarget(ServiceNumber Service, const std::string &Id,
+  KnownTarget &addTarget(ServiceNumber Service, const std::string &Id,
                          Distance Far = Distance::SameDomain,
                          const std::string &Region = "north") {
     TargetInfo Info;
@@ -39,7 +39,7 @@
     Info.Slots = 3;
     Info.Far = Far;
     Info.Region.Text = Region;
-    const auto Target = makeRef<TargetState>(Info);
+    const auto Target = makeRef<KnownTarget>(Info);
     this->View->Services[Service].Targets.push_back(Target);
     return *Target;
   }
@@ -116,7 +116,7 @@
 
   void answer(AttemptIndex Attempt, const std::string &Receipt,
               const std::string &Body = "") {
-    TargetAnswer Answer;
+    PartAnswer Answer;
     Answer.Kind = AnswerKind::Complete;
     Answer.Receipt = Receipt;
     Answer.Response.Status = 200;
@@ -125,14 +125,14 @@
   }
 
   void reject(AttemptIndex Attempt) {
-    TargetAnswer Answer;
+    PartAnswer Answer;
     Answer.Kind = AnswerKind::NotExecuted;
     Answer.Response.Status = 503;
     this->tell(AttemptAnswered{Attempt, std::move(Answer)});
   }
 
   void failWith(AttemptIndex Attempt, int Status) {
-    TargetAnswer Answer;
+    PartAnswer Answer;
     Answer.Kind = AnswerKind::Failed;
     Answer.Response.Status = Status;
     this->tell(AttemptAnswered{Attempt, std::move(Answer)});
--- a/tests/path/ScatterTest.cpp
+++ b/tests/path/ScatterTest.cpp
@@ -189,7 +189,7 @@
 
   GIVEN("a shard whose targets are all unreachable") {
     FourShards World;
-    for (const Ref<TargetState> &Target : World.View->Services[1].Targets)
+    for (const Ref<KnownTarget> &Target : World.View->Services[1].Targets)
       Target->setReach(Reach::Down);
     RunningRequest Run(World);
     WHEN("the request starts") {
@@ -207,7 +207,7 @@
   GIVEN("two of four shards without a usable target") {
     FourShards World;
     for (int Shard = 0; Shard < 2; ++Shard)
-      for (const Ref<TargetState> &Target : World.View->Services[Shard].Targets)
+      for (const Ref<KnownTarget> &Target : World.View->Services[Shard].Targets)
         Target->setReach(Reach::Down);
     RunningRequest Run(World);
     WHEN("the request starts") {
@@ -241,7 +241,7 @@
       }
     }
     WHEN("its connection breaks") {
-      Run.tell(AttemptEnded{Attempts[0], AttemptFailure::Broken});
+      Run.tell(AttemptLost{Attempts[0], AttemptFailure::Broken});
       THEN("it fails without a promise that it has not run") {
         REQUIRE(Run.Decisions.finished());
         CHECK(Run.outcome<FailedAnswer>().Status == 502);
@@ -306,7 +306,7 @@
       }
     }
     WHEN("no connection can be had") {
-      Run.tell(AttemptEnded{First, AttemptFailure::NotSent});
+      Run.tell(AttemptLost{First, AttemptFailure::NotSent});
       THEN(
           "the other target is asked, though the request may not be repeated") {
         CHECK(Run.all<SubmitAttempt>().size() == 1);
--- a/tests/path/TargetChannelTest.cpp
+++ b/tests/path/TargetChannelTest.cpp
@@ -9,9 +9,9 @@
 
 namespace {
 
-Ref<TargetCall> call(TargetState &Target) {
-  auto Result = makeRef<TargetCall>();
-  Result->Target = Ref<TargetState>(&Target);
+Ref<LinkCall> call(KnownTarget &Target) {
+  auto Result = makeRef<LinkCall>();
+  Result->Target = Ref<KnownTarget>(&Target);
   Result->Method = "GET";
   Result->MakeMessage = [](TimePoint) { return std::string(); };
   return Result;
@@ -28,28 +28,28 @@
   TargetChannels Channels(Io, Protocol);
   PathWorld World(singleRoute(true));
   const ServiceNumber Service = World.addService("records");
-  std::vector<TargetState *> Old;
+  std::vector<KnownTarget *> Old;
   for (int Count = 0; Count < 20; ++Count) {
     Old.push_back(&World.addTarget(Service, "old-" + std::to_string(Count)));
     // Not reachable yet, so that calls wait.
     Old.back()->setReach(Reach::Suspect);
   }
   World.input();
-  const std::vector<Ref<TargetState>> Kept =
+  const std::vector<Ref<KnownTarget>> Kept =
       World.View->Services[Service].Targets;
   Channels.follow(World.View, 1);
 
   GIVEN("calls that wait at every target") {
-    std::vector<Ref<TargetState>> Next;
+    std::vector<Ref<KnownTarget>> Next;
     int Ended = 0;
-    for (TargetState *Target : Old) {
-      const Ref<TargetCall> Waiting = call(*Target);
+    for (KnownTarget *Target : Old) {
+      const Ref<LinkCall> Waiting = call(*Target);
       Waiting->OnEnd = [&](const Expected<HttpResponse> &Result, bool Sent) {
         ++Ended;
         CHECK_FALSE(Result);
         CHECK_FALSE(Sent);
         for (int Count = 0; Count < 200; ++Count) {
-          Next.push_back(makeRef<TargetState>(TargetInfo{}));
+          Next.push_back(makeRef<KnownTarget>(TargetInfo{}));
           Channels.of(*Next.back());
         }
       };
@@ -60,7 +60,7 @@
       Channels.follow(World.View, 1);
       THEN("every call ends once, and every channel is retired") {
         CHECK(Ended == 20);
-        for (TargetState *Target : Old)
+        for (KnownTarget *Target : Old)
           CHECK(Channels.of(*Target).isRetired());
       }
     }
--- a/tests/path/TargetChoiceTest.cpp
+++ b/tests/path/TargetChoiceTest.cpp
@@ -9,8 +9,8 @@
 SCENARIO("a target is chosen by what it will probably take", "[choice]") {
   PathWorld World(singleRoute(true));
   const ServiceNumber Number = World.addService("records");
-  TargetState &Near = World.addTarget(Number, "near");
-  TargetState &Far =
+  KnownTarget &Near = World.addTarget(Number, "near");
+  KnownTarget &Far =
       World.addTarget(Number, "far", Distance::OtherRegion, "south");
   const ServiceEntry &Service = World.View->Services[Number];
   ChoiceRules Rules;
