--- a/balsamyard/src/Connection/HttpParser.cpp
+++ b/balsamyard/src/Connection/HttpParser.cpp
@@ -204,6 +204,10 @@
 
 bool RequestParser::started() const { return this->Implementation->Started; }
 
+bool RequestParser::headersWhole() const {
+  return this->Implementation->HeadersWhole;
+}
+
 bool RequestParser::takeExpectContinue() {
   return std::exchange(this->Implementation->ExpectContinue, false) &&
          !this->Implementation->Whole;
--- a/balsamyard/src/Connection/HttpParser.h
+++ b/balsamyard/src/Connection/HttpParser.h
@@ -50,6 +50,9 @@
   /// \returns whether any byte of the current message was read.
   bool started() const;
 
+  /// \returns whether the header section of the current message is whole.
+  bool headersWhole() const;
+
   /// \returns whether the header section is whole and the caller waits for
   /// "100 Continue" before it sends the body. True once for each message.
   bool takeExpectContinue();
--- a/balsamyard/src/Connection/ServerConnection.cpp
+++ b/balsamyard/src/Connection/ServerConnection.cpp
@@ -71,20 +71,7 @@
     return;
   }
   if (std::holds_alternative<HttpIncomplete>(Step.Progress)) {
-    if (this->Parser.started() && !this->HeaderTimerArmed) {
-      this->HeaderTimerArmed = true;
-      this->armTimer(this->Limits.HeaderTimeout);
-    }
-    if (this->Parser.takeExpectContinue()) {
-      static constexpr std::string_view Continue =
-          "HTTP/1.1 100 Continue\r\n\r\n";
-      const Ref<ServerConnection> Self(this);
-      asio::async_write(this->Socket, asio::buffer(Continue),
-                        [Self](const asio::error_code &, std::size_t) {
-                          // A failed write also ends the pending read.
-                        });
-    }
-    this->read();
+    this->onIncomplete();
     return;
   }
   this->HeaderTimerArmed = false;
@@ -98,6 +85,27 @@
   this->Hooks.OnRequest(*this, std::move(Request));
 }
 
+void ServerConnection::onIncomplete() {
+  // The header section has one time limit as a whole; a body may take long, as
+  // long as more of it comes.
+  if (this->Parser.headersWhole())
+    this->armTimer(this->Limits.IdleTimeout);
+  else if (this->Parser.started() && !this->HeaderTimerArmed) {
+    this->HeaderTimerArmed = true;
+    this->armTimer(this->Limits.HeaderTimeout);
+  }
+  if (this->Parser.takeExpectContinue()) {
+    static constexpr std::string_view Continue =
+        "HTTP/1.1 100 Continue\r\n\r\n";
+    const Ref<ServerConnection> Self(this);
+    asio::async_write(this->Socket, asio::buffer(Continue),
+                      [Self](const asio::error_code &, std::size_t) {
+                        // A failed write also ends the pending read.
+                      });
+  }
+  this->read();
+}
+
 void ServerConnection::answer(std::string Message, bool KeepOpen) {
   if (this->Current != State::Handling)
     return;
@@ -186,7 +194,7 @@
 }
 
 Listener::Listener(asio::io_context &Context, ServerHooks Hooks)
-    : Acceptor(Context), Hooks(std::move(Hooks)) {}
+    : Acceptor(Context), AcceptTimer(Context), Hooks(std::move(Hooks)) {}
 
 void Listener::listen(const asio::ip::tcp::endpoint &At) {
   this->Acceptor.open(At.protocol());
@@ -212,13 +220,19 @@
     if (Problem) {
       logEvent(LogLevel::Warning, "accept-failed",
                {{"detail", Problem.message()}});
-    } else {
-      auto Accepted = makeRef<ServerConnection>(std::move(Socket), this->Hooks);
-      this->Connections.push_back(*Accepted);
-      if (this->Stopping)
-        Accepted->beginStop();
-      Accepted->start();
+      this->AcceptTimer.expires_after(AcceptRetryPause);
+      this->AcceptTimer.async_wait([this](const asio::error_code &Cancelled) {
+        if (!Cancelled)
+          this->accept();
+      });
+      return;
     }
+    const auto Accepted =
+        makeRef<ServerConnection>(std::move(Socket), this->Hooks);
+    this->Connections.push_back(*Accepted);
+    if (this->Stopping)
+      Accepted->beginStop();
+    Accepted->start();
     this->accept();
   });
 }
--- a/balsamyard/src/Connection/ServerConnection.h
+++ b/balsamyard/src/Connection/ServerConnection.h
@@ -90,6 +90,7 @@
   void parse();
   void reject(const HttpMalformed &Fault);
   void armTimer(Duration After);
+  void onIncomplete();
   void onTimer();
   void linger();
 
@@ -146,7 +147,12 @@
 private:
   void accept();
 
+  /// A process without free descriptors cannot accept, and would try again at
+  /// once.
+  static constexpr Duration AcceptRetryPause = std::chrono::milliseconds(100);
+
   asio::ip::tcp::acceptor Acceptor;
+  asio::steady_timer AcceptTimer;
   ServerHooks Hooks;
   ConnectionList Connections;
   bool Stopping = false;
--- a/balsamyard/src/Connection/TargetChannel.cpp
+++ b/balsamyard/src/Connection/TargetChannel.cpp
@@ -56,16 +56,16 @@
       this->remove(*Chosen);
       continue;
     }
-    Ref<LinkCall> Call(&this->Waiting.front(), false);
+    const Ref<LinkCall> Call(&this->Waiting.front(), false);
     this->Waiting.pop_front();
-    this->run(*Chosen, std::move(Call));
+    this->run(*Chosen, Call);
   }
   const std::size_t Opening = this->Links.size() - this->openLinks();
   if (this->Waiting.size() > Opening)
     this->openLink();
 }
 
-void TargetChannel::run(LinkEntry &Entry, Ref<LinkCall> Call) {
+void TargetChannel::run(LinkEntry &Entry, const Ref<LinkCall> &Call) {
   const TimePoint Now = steadyNow();
   Call->Sent = true;
   Call->SentAt = Now;
@@ -97,7 +97,7 @@
     Self->onIdleClose(*Entry, At);
   });
   Entry->Link->open(this->Target->Info.Address, this->Times.OpenTimeout,
-                    [Self, Entry](Expected<void> Result) {
+                    [Self, Entry](const Expected<void> &Result) {
                       if (!Result) {
                         Self->onLinkLost(*Entry, false);
                         return;
@@ -242,7 +242,7 @@
   Ref<TargetChannel> Self(this);
   const Ref<HttpLink> Link = this->ProbeLink;
   Link->open(this->Target->Info.Address, this->Times.ProbeTimeout,
-             [Self, Link](Expected<void> Result) {
+             [Self, Link](const Expected<void> &Result) {
                if (!Result) {
                  Self->onProbe(tl::unexpected(Result.error()));
                  return;
--- a/balsamyard/src/Connection/TargetChannel.h
+++ b/balsamyard/src/Connection/TargetChannel.h
@@ -96,7 +96,7 @@
 
   void openLink();
   void dispatch();
-  void run(LinkEntry &Entry, Ref<LinkCall> Call);
+  void run(LinkEntry &Entry, const Ref<LinkCall> &Call);
   void onAnswer(const Ref<LinkEntry> &Entry, Expected<HttpResponse> Result);
   void onLinkLost(const LinkEntry &Entry, bool Expected);
   void onIdleClose(const LinkEntry &Entry, TimePoint Now);
--- a/balsamyard/src/Core/Log.cpp
+++ b/balsamyard/src/Core/Log.cpp
@@ -31,7 +31,9 @@
 
 std::atomic<std::uint64_t> DroppedLines{0};
 
-/// Drops the record that finds the queue full, and counts it.
+/// Drops the record that finds the queue full, and counts it. Boost.Log names
+/// the members.
+// NOLINTBEGIN(readability-identifier-naming)
 class CountingDrop {
 public:
   template <typename Lock>
@@ -42,6 +44,7 @@
   static void on_queue_space_available() {}
   static void interrupt() {}
 };
+// NOLINTEND(readability-identifier-naming)
 
 using ImmediateSink = boost::log::sinks::synchronous_sink<Backend>;
 using QueuedSink = boost::log::sinks::asynchronous_sink<
--- a/balsamyard/src/Process/Discovery.h
+++ b/balsamyard/src/Process/Discovery.h
@@ -16,6 +16,12 @@
 public:
   explicit Discovery(const NodeSettings &Settings);
 
+  /// \brief The settings were read again.
+  void setBounds(const FleetBounds &Next) {
+    this->Settings.Bounds = Next;
+    this->Changed = true;
+  }
+
   /// \brief A configuration was read. \returns whether it is newer than the
   /// one in force; an older one is never taken.
   bool configure(Ref<const Configuration> Next);
@@ -73,7 +79,7 @@
   void choosePreferred(const ServiceSpec &Spec,
                        std::vector<Ref<KnownTarget>> &Targets) const;
 
-  const NodeSettings Settings;
+  NodeSettings Settings;
   Ref<const Configuration> Config;
   std::map<TargetId, Entry> Targets;
   std::set<DomainName> Evacuated;
--- a/balsamyard/src/Process/FleetAgent.cpp
+++ b/balsamyard/src/Process/FleetAgent.cpp
@@ -14,7 +14,7 @@
 FleetAgent::FleetAgent(asio::io_context &Context, const NodeSettings &Settings,
                        const PlatformAdapter &Adapter, RcuCell<FleetView> &View,
                        std::function<void()> OnPublished)
-    : Context(Context), Settings(Settings), Adapter(Adapter), View(View),
+    : Settings(Settings), Adapter(Adapter), View(View),
       OnPublished(std::move(OnPublished)), Known(Settings),
       Feeds{std::make_unique<Feed>(Context, ObjectKind::Configuration,
                                    Duration::zero(), Settings.Store),
@@ -35,6 +35,8 @@
   for (const std::unique_ptr<Feed> &Each : this->Feeds)
     Each->Channel.setStore(Next.Store);
   this->NodeChannel.setStore(Next.Store);
+  this->Known.setBounds(Next.Bounds);
+  this->scheduleWork();
 }
 
 void FleetAgent::input(Feed &From, FeedInput Input) {
--- a/balsamyard/src/Process/FleetAgent.h
+++ b/balsamyard/src/Process/FleetAgent.h
@@ -82,7 +82,6 @@
   void countNodes(const std::string &After);
   void scheduleCount(Duration After);
 
-  asio::io_context &Context;
   const NodeSettings Settings;
   const PlatformAdapter &Adapter;
   RcuCell<FleetView> &View;
--- a/balsamyard/src/Process/Node.cpp
+++ b/balsamyard/src/Process/Node.cpp
@@ -113,15 +113,15 @@
               for (const auto &Path : this->Paths)
                 Path->follow(this->Paths.size());
             }),
-      Readiness(
-          this->Control,
-          ServerHooks{[this](ServerConnection &Peer, HttpRequest Request) {
-                        this->onReadinessRequest(Peer, Request);
-                      },
-                      [](ServerConnection &) {
-                        // Its answer is not needed any more.
-                      },
-                      [] { return ServerLimits{}; }}),
+      Readiness(this->Control,
+                ServerHooks{
+                    [this](ServerConnection &Peer, const HttpRequest &Request) {
+                      this->onReadinessRequest(Peer, Request);
+                    },
+                    [](ServerConnection &) {
+                      // Its answer is not needed any more.
+                    },
+                    [] { return ServerLimits{}; }}),
       MetricsPage(
           this->Control,
           ServerHooks{[this](ServerConnection &Peer, const HttpRequest &) {
--- a/tests/path/FakeFleet.h
+++ b/tests/path/FakeFleet.h
@@ -31,12 +31,12 @@
                                                const HttpRequest &)> &OnRequest)
       : Work(asio::make_work_guard(this->Io)),
         Server(this->Io,
-               ServerHooks{
-                   [OnRequest](ServerConnection &Peer, HttpRequest Request) {
-                     OnRequest(Peer, Request);
-                   },
-                   [this](ServerConnection &) { ++this->Gone; },
-                   [] { return ServerLimits{}; }}) {
+               ServerHooks{[OnRequest](ServerConnection &Peer,
+                                       const HttpRequest &Request) {
+                             OnRequest(Peer, Request);
+                           },
+                           [this](ServerConnection &) { ++this->Gone; },
+                           [] { return ServerLimits{}; }}) {
     this->Server.listen({asio::ip::make_address("127.0.0.1"), 0});
     this->Thread = std::thread([this] { this->Io.run(); });
   }
--- a/tests/path/ObjectFeedTest.cpp
+++ b/tests/path/ObjectFeedTest.cpp
@@ -12,7 +12,8 @@
   return Result;
 }
 
-FeedPage page(std::vector<std::string> Names, bool More, std::uint64_t AsOf) {
+FeedPage page(const std::vector<std::string> &Names, bool More,
+              std::uint64_t AsOf) {
   FeedPage Result;
   for (const std::string &Name : Names)
     Result.Objects.push_back(object(Name));
--- a/tests/path/PlatformTest.cpp
+++ b/tests/path/PlatformTest.cpp
@@ -79,7 +79,7 @@
     }
   }
   GIVEN("files with a fault") {
-    const auto codeOf = [](std::string Text, const std::string &From,
+    const auto CodeOf = [](std::string Text, const std::string &From,
                            const std::string &To) {
       Text.replace(Text.find(From), From.size(), To);
       const TemporaryFile File(Text);
@@ -89,12 +89,12 @@
       return Read.error().Value;
     };
     THEN("the fault is named with its place and a code") {
-      CHECK(codeOf(Settings, "nodeName", "other") == Code::SettingsMissingKey);
-      CHECK(codeOf(Settings, "10.1.0.9:8104", "10.1.0.9") ==
+      CHECK(CodeOf(Settings, "nodeName", "other") == Code::SettingsMissingKey);
+      CHECK(CodeOf(Settings, "10.1.0.9:8104", "10.1.0.9") ==
             Code::SettingsBadValue);
-      CHECK(codeOf(Settings, "drainMs: 4000", "drainMs: soon") ==
+      CHECK(CodeOf(Settings, "drainMs: 4000", "drainMs: soon") ==
             Code::SettingsBadValue);
-      CHECK(codeOf(Settings, "zones:", "zones: [") == Code::SettingsSyntax);
+      CHECK(CodeOf(Settings, "zones:", "zones: [") == Code::SettingsSyntax);
       CHECK(platform::readSettings("/nowhere").error().Value ==
             Code::SettingsUnreadable);
     }
