--- a/balsamyard/src/Connection/ServerConnection.cpp
+++ b/balsamyard/src/Connection/ServerConnection.cpp
@@ -251,10 +251,4 @@
     Open.closeIfIdle();
 }
 
-std::size_t Listener::busyConnections() const {
-  return static_cast<std::size_t>(std::count_if(
-      this->Connections.begin(), this->Connections.end(),
-      [](const ServerConnection &Open) { return Open.isBusy(); }));
-}
-
 } // namespace balsamyard
--- a/balsamyard/src/Connection/ServerConnection.h
+++ b/balsamyard/src/Connection/ServerConnection.h
@@ -69,10 +69,6 @@
   /// \brief Closes the connection whatever it does.
   void close();
 
-  bool isBusy() const {
-    return this->Current == State::Handling || this->Current == State::Writing;
-  }
-
   /// \brief What the owner attaches to the running request.
   void *Attached = nullptr;
 
@@ -141,9 +137,6 @@
 
   std::size_t connections() const { return this->Connections.size(); }
 
-  /// \returns how many connections have a request without a whole answer.
-  std::size_t busyConnections() const;
-
 private:
   void accept();
 
--- a/balsamyard/src/Connection/StoreChannel.h
+++ b/balsamyard/src/Connection/StoreChannel.h
@@ -15,6 +15,12 @@
 
   /// The store answers in milliseconds; when it is slow, 60 times as long.
   static constexpr Duration OpenTimeout = std::chrono::seconds(1);
+  static constexpr Duration CallTimeout = std::chrono::milliseconds(1500);
+
+  /// Its answers if an object exists already or has changed, and if there is
+  /// none.
+  static constexpr int ConflictStatus = 409;
+  static constexpr int NotFoundStatus = 404;
 
   StoreChannel(asio::io_context &Context, Endpoint Store)
       : Context(Context), Store(std::move(Store)), Timer(Context) {}
--- a/balsamyard/src/Connection/TargetChannel.cpp
+++ b/balsamyard/src/Connection/TargetChannel.cpp
@@ -413,11 +413,4 @@
   }
 }
 
-std::size_t TargetChannels::links() const {
-  std::size_t Count = 0;
-  for (const auto &[Target, Channel] : this->Channels)
-    Count += Channel->links();
-  return Count;
-}
-
 } // namespace balsamyard
--- a/balsamyard/src/Connection/TargetChannel.h
+++ b/balsamyard/src/Connection/TargetChannel.h
@@ -79,7 +79,6 @@
   const KnownTarget &target() const { return *this->Target; }
   bool isRetired() const { return this->Retired; }
   bool isIdle() const { return this->Links.empty() && this->Waiting.empty(); }
-  std::size_t links() const { return this->Links.size(); }
 
 private:
   struct LinkEntry : RefCounted<LinkEntry> {
@@ -145,9 +144,6 @@
 
   void tick(TimePoint Now);
 
-  /// \returns the open connections of all channels.
-  std::size_t links() const;
-
 private:
   /// What a channel reports may open channels to further targets, so loops go
   /// over a copy.
--- a/balsamyard/src/Core/Names.h
+++ b/balsamyard/src/Core/Names.h
@@ -33,6 +33,9 @@
 /// \brief Version of the configuration. A higher number is newer.
 enum class ConfigVersion : std::uint64_t {};
 
+/// \brief Position in the history of the platform's store.
+enum class StoreRevision : std::uint64_t {};
+
 /// \brief Hash of service, route and canonical body of a request.
 enum class Fingerprint : std::uint64_t {};
 
--- a/balsamyard/src/Process/Discovery.cpp
+++ b/balsamyard/src/Process/Discovery.cpp
@@ -55,6 +55,8 @@
     return "moves";
   case ObjectKind::Nodes:
     return "nodes";
+  case ObjectKind::MoveCounts:
+    return "move-counts";
   }
   return "unknown";
 }
@@ -200,6 +202,40 @@
   this->Changed = true;
 }
 
+void Discovery::setMove(const ServiceName &Service, Ref<MoveTraffic> Move) {
+  if (Move)
+    this->Moves[Service] = std::move(Move);
+  else
+    this->Moves.erase(Service);
+  this->Changed = true;
+}
+
+bool Discovery::serves(const ServiceName &Service,
+                       const VersionName &Version) const {
+  return std::any_of(this->Targets.begin(), this->Targets.end(),
+                     [&](const auto &Each) {
+                       const KnownTarget &Target = *Each.second.State;
+                       return Target.Info.Service == Service &&
+                              Target.Info.Version == Version &&
+                              Target.standing() == Standing::Serving;
+                     });
+}
+
+Ref<MoveTraffic> Discovery::moveOf(const ServiceName &Service) const {
+  const auto Found = this->Moves.find(Service);
+  if (Found == this->Moves.end())
+    return nullptr;
+  const MoveTraffic &Move = *Found->second;
+  const bool HasOld = std::any_of(
+      this->Targets.begin(), this->Targets.end(), [&](const auto &Each) {
+        const TargetInfo &Info = Each.second.State->Info;
+        return Info.Service == Service && Info.Version != Move.To;
+      });
+  // Nothing is left to move from; a version that was taken back still gets
+  // nothing.
+  return HasOld || Move.share() <= 0 ? Found->second : nullptr;
+}
+
 std::optional<TimePoint> Discovery::nextExpiry() const {
   std::optional<TimePoint> Next;
   for (const auto &[Id, Known] : this->Targets)
@@ -275,6 +311,7 @@
     if (!Budget)
       Budget = makeRef<RetryBudget>();
     Service.Budget = Budget;
+    Service.Move = this->moveOf(Spec.Name);
   }
   // Statistics of routes that were dropped are forgotten.
   const std::map<RouteName, Ref<RouteStats>> Former =
--- a/balsamyard/src/Process/Discovery.h
+++ b/balsamyard/src/Process/Discovery.h
@@ -44,6 +44,17 @@
   /// \brief The nodes of the system, this one included.
   void setNodes(const std::set<NodeName> &Listed);
 
+  /// \brief The traffic of a service moves to another version, or no longer
+  /// does if \p Move is null.
+  void setMove(const ServiceName &Service, Ref<MoveTraffic> Move);
+
+  /// \returns whether a target of that version may get requests.
+  bool serves(const ServiceName &Service, const VersionName &Version) const;
+
+  /// \returns the place of this node among all, by name.
+  std::uint32_t rank() const { return this->Rank; }
+  std::uint32_t nodes() const { return this->Nodes; }
+
   /// \brief The store went away or came back: entries that disappear now may
   /// only have lapsed.
   void storeUnstable(TimePoint Now) { this->UnstableAt = Now; }
@@ -73,6 +84,7 @@
   };
 
   void setStanding(Entry &Known);
+  Ref<MoveTraffic> moveOf(const ServiceName &Service) const;
   Distance distanceOf(const DomainName &Domain) const;
   RegionName regionOf(const DomainName &Domain) const;
   Duration withdrawalHold(TimePoint Now) const;
@@ -85,6 +97,7 @@
   std::set<DomainName> Evacuated;
   std::map<ServiceName, Ref<RetryBudget>> Budgets;
   std::map<RouteName, Ref<RouteStats>> Stats;
+  std::map<ServiceName, Ref<MoveTraffic>> Moves;
   std::uint32_t Nodes;
   bool NodesCounted = false;
   std::uint32_t Rank = 0; ///< Of this node among all, by name.
--- a/balsamyard/src/Process/FleetAgent.cpp
+++ b/balsamyard/src/Process/FleetAgent.cpp
@@ -4,13 +4,6 @@
 
 namespace balsamyard {
 
-namespace {
-
-/// The store's answer if an object exists already.
-constexpr int ConflictStatus = 409;
-
-} // namespace
-
 FleetAgent::FleetAgent(asio::io_context &Context, const NodeSettings &Settings,
                        const PlatformAdapter &Adapter, RcuCell<FleetView> &View,
                        std::function<void()> OnPublished)
@@ -21,7 +14,11 @@
             std::make_unique<Feed>(Context, ObjectKind::Targets,
                                    TargetEventPause, Settings.Store),
             std::make_unique<Feed>(Context, ObjectKind::Evacuations,
-                                   Duration::zero(), Settings.Store)},
+                                   Duration::zero(), Settings.Store),
+            std::make_unique<Feed>(Context, ObjectKind::Moves, Duration::zero(),
+                                   Settings.Store)},
+      Moves(Context, Settings, Adapter, this->Known,
+            [this] { this->scheduleWork(); }),
       NodeChannel(Context, Settings.Store), NodeTimer(Context),
       WorkTimer(Context) {}
 
@@ -35,6 +32,7 @@
   for (const std::unique_ptr<Feed> &Each : this->Feeds)
     Each->Channel.setStore(Next.Store);
   this->NodeChannel.setStore(Next.Store);
+  this->Moves.reload(Next);
   this->Known.setBounds(Next.Bounds);
   this->scheduleWork();
 }
@@ -49,8 +47,8 @@
 
 void FleetAgent::on(Feed &From, const CallList &Output) {
   From.Channel.call(
-      this->Adapter.ListCall(From.Kind, Output.After), CallTimeout,
-      [this, &From](Expected<HttpResponse> Result) {
+      this->Adapter.ListCall(From.Kind, Output.After),
+      StoreChannel::CallTimeout, [this, &From](Expected<HttpResponse> Result) {
         this->input(From, Result ? this->Adapter.ReadPage(*Result)
                                  : FeedInput(FeedCallFailed{Result.error()}));
       });
@@ -59,7 +57,8 @@
 void FleetAgent::on(Feed &From, const CallWatch &Output) {
   From.Channel.call(
       this->Adapter.WatchCall(From.Kind, Output.Since, WatchWait),
-      WatchWait + CallTimeout, [this, &From](Expected<HttpResponse> Result) {
+      WatchWait + StoreChannel::CallTimeout,
+      [this, &From](Expected<HttpResponse> Result) {
         this->input(From, Result ? this->Adapter.ReadEvents(*Result)
                                  : FeedInput(FeedCallFailed{Result.error()}));
       });
@@ -74,6 +73,7 @@
 }
 
 void FleetAgent::on(Feed &From, FeedListed &Output) {
+  this->Listed.insert(From.Kind);
   switch (From.Kind) {
   case ObjectKind::Configuration:
     for (const StoredObject &Object : Output.Objects)
@@ -86,7 +86,6 @@
       this->applyTarget(Object);
     }
     this->Known.keepOnly(Listed, steadyNow());
-    this->TargetsListed = true;
     return;
   }
   case ObjectKind::Evacuations: {
@@ -96,8 +95,17 @@
     this->Known.evacuateOnly(Domains);
     return;
   }
-  case ObjectKind::Moves:
+  case ObjectKind::Moves: {
+    std::set<ServiceName> Ordered;
+    for (const StoredObject &Object : Output.Objects) {
+      Ordered.insert(ServiceName{Object.Name});
+      this->applyMove(Object);
+    }
+    this->Moves.keepOnly(Ordered);
+    return;
+  }
   case ObjectKind::Nodes:
+  case ObjectKind::MoveCounts:
     return;
   }
 }
@@ -127,7 +135,13 @@
       this->Known.evacuate(DomainName{Name});
     return;
   case ObjectKind::Moves:
+    if (Change.Removed)
+      this->Moves.drop(ServiceName{Name});
+    else
+      this->applyMove(Change.Object);
+    return;
   case ObjectKind::Nodes:
+  case ObjectKind::MoveCounts:
     return;
   }
 }
@@ -159,6 +173,18 @@
   this->Known.announce(*Read, steadyNow());
 }
 
+void FleetAgent::applyMove(const StoredObject &Object) {
+  const Expected<MoveSeen> Read = this->Adapter.ReadMove(Object);
+  if (!Read) {
+    logEvent(LogLevel::Error, "move-order-unreadable",
+             {{"object", Object.Name},
+              {"code", Read.error().Value},
+              {"detail", Read.error().Detail}});
+    return;
+  }
+  this->Moves.see(*Read);
+}
+
 void FleetAgent::on(Feed &From, const FeedLost &Output) {
   this->Known.storeUnstable(steadyNow());
   logEvent(LogLevel::Warning, "store-lost",
@@ -195,7 +221,8 @@
   this->Known.expire(steadyNow());
   if (this->Known.changed()) {
     this->View.publish(this->Known.build());
-    const bool Serves = this->TargetsListed && this->Known.canServe();
+    const bool Serves =
+        this->Listed.size() == this->Feeds.size() && this->Known.canServe();
     if (Serves != this->Ready.exchange(Serves, std::memory_order_relaxed))
       logEvent(LogLevel::Info, Serves ? "node-ready" : "node-not-ready",
                {{"targets", static_cast<std::int64_t>(this->Known.targets())}});
@@ -209,10 +236,11 @@
   this->NodeChannel.call(
       this->Adapter.CreateCall(ObjectKind::Nodes, this->Settings.Node.Text,
                                Content),
-      CallTimeout, [this](Expected<HttpResponse> Result) {
+      StoreChannel::CallTimeout, [this](Expected<HttpResponse> Result) {
         // A former process of this node has registered it, so the others are
         // not just starting.
-        const bool Known = Result && Result->Status == ConflictStatus;
+        const bool Known =
+            Result && Result->Status == StoreChannel::ConflictStatus;
         if (Known || (Result && Result->Status / 100 == 2)) {
           this->Settled = Known;
           this->scheduleCount(Known ? Duration::zero() : FirstCountDelay);
@@ -233,8 +261,8 @@
   if (After.empty())
     this->NodesListed.clear();
   this->NodeChannel.call(
-      this->Adapter.StaleListCall(ObjectKind::Nodes, After), CallTimeout,
-      [this](Expected<HttpResponse> Result) {
+      this->Adapter.StaleListCall(ObjectKind::Nodes, After),
+      StoreChannel::CallTimeout, [this](Expected<HttpResponse> Result) {
         Duration Next = ObjectFeed::MaxPause;
         const FeedInput Read = Result
                                    ? this->Adapter.ReadPage(*Result)
--- a/balsamyard/src/Process/FleetAgent.h
+++ b/balsamyard/src/Process/FleetAgent.h
@@ -2,6 +2,7 @@
 
 #include "balsamyard/src/Connection/StoreChannel.h"
 #include "balsamyard/src/Process/Discovery.h"
+#include "balsamyard/src/Process/MoveAgent.h"
 #include "balsamyard/src/Process/ObjectFeed.h"
 #include "balsamyard/src/Process/PlatformAdapter.h"
 #include "balsamyard/src/Version/RcuCell.h"
@@ -22,9 +23,6 @@
   /// Longest time that a watch waits; each watch that ends is one call.
   static constexpr Duration WatchWait = std::chrono::seconds(30);
 
-  /// The store answers in milliseconds, and 60 times as late when it is slow.
-  static constexpr Duration CallTimeout = std::chrono::milliseconds(1500);
-
   /// Targets change often, most of all when many start; a leaving target
   /// serves for seconds after it says so.
   static constexpr Duration TargetEventPause = std::chrono::milliseconds(300);
@@ -76,6 +74,7 @@
   void apply(ObjectKind Kind, const ObjectChange &Change);
   void applyConfiguration(const StoredObject &Object);
   void applyTarget(const StoredObject &Object);
+  void applyMove(const StoredObject &Object);
   void scheduleWork();
   void work();
   void registerNode();
@@ -87,14 +86,17 @@
   RcuCell<FleetView> &View;
   const std::function<void()> OnPublished;
   Discovery Known;
-  std::array<std::unique_ptr<Feed>, 3> Feeds;
+  std::array<std::unique_ptr<Feed>, 4> Feeds;
+  MoveAgent Moves;
   StoreChannel NodeChannel;
   asio::steady_timer NodeTimer;
   asio::steady_timer WorkTimer;
   TimePoint WorkAt = TimePoint::max();
   std::set<NodeName> NodesListed;
   bool Settled = false; ///< The nodes that start together are counted.
-  bool TargetsListed = false;
+  /// A node that does not know the orders yet might send requests to targets
+  /// that must get none.
+  std::set<ObjectKind> Listed;
   std::atomic<bool> Ready{false};
 };
 
--- /dev/null
+++ b/balsamyard/src/Process/MoveAgent.h
@@ -0,0 +1,102 @@
+#pragma once
+
+#include "balsamyard/src/Connection/StoreChannel.h"
+#include "balsamyard/src/Process/Discovery.h"
+#include "balsamyard/src/Process/PlatformAdapter.h"
+#include "balsamyard/src/Version/ServiceMove.h"
+
+#include <asio/steady_timer.hpp>
+#include <deque>
+#include <functional>
+#include <map>
+#include <set>
+
+namespace balsamyard {
+
+/// \brief Carries out the moves of services to other versions: gives the counts
+/// of requests to their decisions, tells other nodes its own, and writes
+/// reports. Runs on the control thread.
+class MoveAgent {
+public:
+  /// Evidence is judged this often while a move is under way.
+  static constexpr Duration TickInterval = std::chrono::milliseconds(250);
+
+  /// Bad answers are told to the other nodes after this time at the latest; a
+  /// bad version has to be taken back within seconds.
+  static constexpr Duration BadReportPause = std::chrono::milliseconds(400);
+
+  /// Good answers can wait. Each node of the fleet adds to the pause, so that
+  /// all of them together stay far below the rate of writes of the store.
+  static constexpr Duration GoodReportPause = std::chrono::seconds(3);
+  static constexpr Duration GoodReportPausePerNode =
+      std::chrono::milliseconds(10);
+
+  /// The counts of the others are read this often by the first nodes, and more
+  /// seldom with each rank: they take over when the first ones are gone.
+  static constexpr Duration ReadPause = std::chrono::milliseconds(800);
+  static constexpr Duration ReadPausePerRank = std::chrono::milliseconds(750);
+
+  /// \p OnChanged is called when \p Known has changed.
+  MoveAgent(asio::io_context &Context, const NodeSettings &Settings,
+            const PlatformAdapter &Adapter, Discovery &Known,
+            std::function<void()> OnChanged);
+
+  /// \brief The settings were read again.
+  void reload(const NodeSettings &Settings);
+
+  /// \brief An order or its report was read.
+  void see(const MoveSeen &Seen);
+
+  /// \brief The order no longer exists.
+  void drop(const ServiceName &Service);
+
+  /// \brief Drops every order that is not in \p Ordered.
+  void keepOnly(const std::set<ServiceName> &Ordered);
+
+private:
+  struct Entry {
+    Entry(ServiceMove Decisions, Ref<MoveTraffic> Traffic)
+        : Decisions(std::move(Decisions)), Traffic(std::move(Traffic)) {}
+
+    ServiceMove Decisions;
+    Ref<MoveTraffic> Traffic;
+    MoveTally Told; ///< What the other nodes know of the own counts.
+    TimePoint ToldAt{};
+    TimePoint ReadAt{};
+    std::optional<double> Published; ///< Share that requests know.
+    bool Announced = false; ///< The counts of this node are in the store.
+    bool Removed = false;   ///< The order is gone.
+  };
+  struct StoreCall {
+    std::string Message;
+    StoreChannel::Handler Done;
+  };
+
+  void tick();
+  void advance(const ServiceName &Service, Entry &Moving);
+  void apply(const ServiceName &Service, Entry &Moving,
+             const ServiceMoveEvent &Event);
+  void publish(const ServiceName &Service, Entry &Moving);
+  void tellCounts(const ServiceName &Service, Entry &Moving);
+  void readCounts(const ServiceName &Service, const std::string &After);
+  void onCounts(const ServiceName &Service, const FeedPage &Page);
+  void removeCounts(const ServiceName &Service, Entry &Moving);
+  void write(const ServiceName &Service, const WriteMoveReport &Effect);
+  std::string countsName(const ServiceName &Service) const;
+  void call(std::string Message, StoreChannel::Handler Done);
+  void nextCall();
+
+  const NodeName Self;
+  double Exposure;
+  const PlatformAdapter &Adapter;
+  Discovery &Known;
+  const std::function<void()> OnChanged;
+  const std::uint64_t Incarnation;
+  StoreChannel Channel;
+  asio::steady_timer Timer;
+  std::map<ServiceName, Entry> Moves;
+  std::deque<StoreCall> Calls; ///< The first one is running.
+  bool Ticking = false;
+};
+
+} // namespace balsamyard
--- a/balsamyard/src/Process/NodeSettings.h
+++ b/balsamyard/src/Process/NodeSettings.h
@@ -21,6 +21,9 @@
   double ColdRateFactor = 1.5;
   double ColdSlack = 5;
 
+  /// Share of the requests of a service that a bad version may get.
+  double BadVersionShare = 0.1;
+
   /// A target that leaves serves this much longer.
   Duration DrainTime = std::chrono::seconds(3);
 
--- a/balsamyard/src/Process/ObjectFeed.h
+++ b/balsamyard/src/Process/ObjectFeed.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "balsamyard/src/Core/Error.h"
+#include "balsamyard/src/Core/Names.h"
 #include "balsamyard/src/Core/Time.h"
 
 #include <cstdint>
@@ -11,9 +12,6 @@
 
 namespace balsamyard {
 
-/// \brief Position in the history of the platform's store.
-enum class StoreRevision : std::uint64_t {};
-
 /// \brief An object of the platform's store.
 struct StoredObject {
   std::string Name;
@@ -116,8 +114,6 @@
 
   void handle(FeedInput Input, FeedOutputs &Outputs);
 
-  bool isLost() const { return this->Lost; }
-
 private:
   void on(const FeedStarted &Input, FeedOutputs &Outputs);
   void on(FeedPage &Input, FeedOutputs &Outputs);
--- a/balsamyard/src/Process/PlatformAdapter.h
+++ b/balsamyard/src/Process/PlatformAdapter.h
@@ -4,6 +4,7 @@
 #include "balsamyard/src/Core/Error.h"
 #include "balsamyard/src/Process/ObjectFeed.h"
 #include "balsamyard/src/Version/Configuration.h"
+#include "balsamyard/src/Version/ServiceMove.h"
 
 #include <functional>
 #include <string>
@@ -18,6 +19,7 @@
   Evacuations, ///< One object for each evacuated failure domain.
   Moves,       ///< Orders to move a service to another version.
   Nodes,       ///< One object for each node of the system.
+  MoveCounts,  ///< What a node has counted of a move.
 };
 
 /// \returns the name of a kind in logs.
@@ -45,6 +47,17 @@
                             const nlohmann::json &Content)>
       CreateCall;
 
+  /// Creates nothing; the answer to an unknown name is a failure.
+  std::function<std::string(ObjectKind, std::string_view Name,
+                            const nlohmann::json &Content)>
+      ReplaceCall;
+  std::function<std::string(ObjectKind, std::string_view Name)> RemoveCall;
+
+  /// Writes the report of a move if its order is still at \p Base.
+  std::function<std::string(const ServiceName &, const MoveReport &,
+                            StoreRevision Base)>
+      MoveReportCall;
+
   std::function<FeedInput(const HttpResponse &)> ReadPage;
   std::function<FeedInput(const HttpResponse &)> ReadEvents;
 
@@ -52,6 +65,7 @@
   std::function<Expected<Ref<const Configuration>>(const StoredObject &)>
       ReadConfiguration;
   std::function<Expected<TargetAnnouncement>(const StoredObject &)> ReadTarget;
+  std::function<Expected<MoveSeen>(const StoredObject &)> ReadMove;
 };
 
 } // namespace balsamyard
--- a/balsamyard/src/Request/Scatter.cpp
+++ b/balsamyard/src/Request/Scatter.cpp
@@ -116,6 +116,27 @@
   }
 }
 
+TargetChoice Scatter::choose(const Shard &Part, TimePoint Now) {
+  const FleetView &View = *this->Input.View;
+  const ServiceEntry &Service = View.Services[Part.Service];
+  ChoiceRules Rules;
+  Rules.Usual = this->Stats.Median.value();
+  Rules.ColdInterval = View.coldInterval(Part.Service);
+  Rules.Regions = &this->route().Regions;
+  if (Service.Move) {
+    Rules.MovesTo = &Service.Move->To;
+    Rules.WantsNew = Service.Move->takeTurn();
+  }
+  const TargetChoice Choice =
+      chooseTarget(Service, Rules, Part.Tried, Now, this->Random);
+  // An unproven version must not get more because the old one is full or away.
+  if (Choice.Target != nullptr || !Service.Move ||
+      (!Rules.WantsNew && !Service.Move->mayReplaceOld()))
+    return Choice;
+  Rules.WantsNew = !Rules.WantsNew;
+  return chooseTarget(Service, Rules, Part.Tried, Now, this->Random);
+}
+
 bool Scatter::submit(std::uint32_t ShardAt, bool Hedge, TimePoint Now,
                      ScatterEffects &Effects) {
   Shard &Part = this->Shards[ShardAt];
@@ -123,11 +144,7 @@
     return false;
   const FleetView &View = *this->Input.View;
   const ServiceEntry &Service = View.Services[Part.Service];
-  const ChoiceRules Rules{this->Stats.Median.value(),
-                          View.coldInterval(Part.Service),
-                          &this->route().Regions};
-  const TargetChoice Choice =
-      chooseTarget(Service, Rules, Part.Tried, Now, this->Random);
+  const TargetChoice Choice = this->choose(Part, Now);
   if (Choice.Target == nullptr)
     return false;
   // A hedge that would come after the goal is of no use while the first
@@ -206,9 +223,42 @@
   --Part.OpenCount;
   if (Closed.Current == State::Queued)
     --Part.QueuedCount;
+  else
+    this->countForMove(Closed, Now);
   Closed.Current = State::Ended;
 }
 
+void Scatter::countForMove(const Attempt &Closed, TimePoint Now) const {
+  MoveTraffic *Move =
+      this->Input.View->Services[this->Shards[Closed.Shard].Service].Move.get();
+  // A cold target is slow whatever its version.
+  if (Move == nullptr || Closed.Target->isCold(Now))
+    return;
+  const bool IsSlow =
+      Closed.Took > MoveTraffic::SlowFactor * this->Stats.Median.value();
+  AnswerQuality Quality = IsSlow ? AnswerQuality::Slow : AnswerQuality::Good;
+  switch (Closed.Result) {
+  case Fate::Answered:
+    break;
+  case Fate::Failed:
+  case Fate::Broken:
+    Quality = AnswerQuality::Error;
+    break;
+  case Fate::Open:
+    // Nobody waits any more; how it would have ended is only known if it was
+    // slow already.
+    if (!IsSlow)
+      return;
+    break;
+  case Fate::NotExecuted:
+  case Fate::NotSent:
+  case Fate::Withdrawn:
+    return;
+  }
+  Move->count(this->route().Name, Closed.Target->Info.Version == Move->To,
+              Quality);
+}
+
 bool Scatter::mayRepeat(const Shard &Part, AnswerKind Kind) const {
   return Part.SentCount + Part.QueuedCount < this->route().MaxTargets &&
          (this->route().Idempotent || Kind == AnswerKind::NotExecuted);
@@ -411,11 +461,16 @@
                      ScatterEffects &Effects) {
   this->Finished = true;
   this->Outcome = std::move(Result);
-  for (AttemptIndex At = 0; At < this->Attempts.size(); ++At)
-    if (this->Attempts[At].Current == State::Queued) {
-      this->closeAttempt(this->Attempts[At], Fate::Withdrawn, Now);
+  for (AttemptIndex At = 0; At < this->Attempts.size(); ++At) {
+    Attempt &Each = this->Attempts[At];
+    if (Each.Current == State::Queued) {
+      this->closeAttempt(Each, Fate::Withdrawn, Now);
       Effects.push_back(WithdrawAttempt{At});
+    } else if (Each.Current == State::Sent) {
+      Each.Took = Now - Each.At;
+      this->countForMove(Each, Now);
     }
+  }
   Effects.push_back(ScatterFinished{});
 }
 
--- a/balsamyard/src/Request/Scatter.h
+++ b/balsamyard/src/Request/Scatter.h
@@ -183,6 +183,7 @@
   void on(const ScatterTimeReached &Event, TimePoint Now,
           ScatterEffects &Effects);
 
+  TargetChoice choose(const Shard &Part, TimePoint Now);
   bool submit(std::uint32_t ShardAt, bool Hedge, TimePoint Now,
               ScatterEffects &Effects);
   bool mayRepeat(const Shard &Part, AnswerKind Kind) const;
@@ -191,6 +192,7 @@
   void checkLate(TimePoint Now, ScatterEffects &Effects);
   void moveQueued(AttemptIndex At, TimePoint Now, ScatterEffects &Effects);
   void closeAttempt(Attempt &Closed, Fate Result, TimePoint Now);
+  void countForMove(const Attempt &Closed, TimePoint Now) const;
   void checkEnd(TimePoint Now, ScatterEffects &Effects);
   void scheduleWake(TimePoint Now, ScatterEffects &Effects);
   void finish(CallerAnswer Result, TimePoint Now, ScatterEffects &Effects);
--- a/balsamyard/src/Request/TargetChoice.cpp
+++ b/balsamyard/src/Request/TargetChoice.cpp
@@ -34,6 +34,9 @@
 bool mayServe(const KnownTarget &Target, const ChoiceRules &Rules) {
   if (Target.standing() != Standing::Serving || Target.reach() == Reach::Down)
     return false;
+  if (Rules.MovesTo != nullptr &&
+      (Target.Info.Version == *Rules.MovesTo) != Rules.WantsNew)
+    return false;
   return Rules.Regions == nullptr || Rules.Regions->empty() ||
          std::find(Rules.Regions->begin(), Rules.Regions->end(),
                    Target.Info.Region) != Rules.Regions->end();
--- a/balsamyard/src/Request/TargetChoice.h
+++ b/balsamyard/src/Request/TargetChoice.h
@@ -13,6 +13,11 @@
   Duration Usual{};                        ///< \sa RouteStats::Median
   Duration ColdInterval = Duration::max(); ///< \sa FleetView::coldInterval
   const std::vector<RegionName> *Regions = nullptr; ///< \sa Route::Regions
+
+  /// While traffic moves to a version: whether only its targets may be chosen,
+  /// or only all others.
+  const VersionName *MovesTo = nullptr;
+  bool WantsNew = false;
 };
 
 /// \brief A chosen target and when it will probably answer.
--- a/balsamyard/src/Version/Configuration.h
+++ b/balsamyard/src/Version/Configuration.h
@@ -49,7 +49,6 @@
   Duration LatencyGoal{}; ///< An answer within it has its full value.
   std::uint32_t MaxTargets =
       1;                  ///< Targets that a request (of each shard) may reach.
-  std::uint32_t Rank = 0; ///< 0 is the most urgent.
   std::vector<RegionName> Regions; ///< Empty: every region may serve it.
   Destination To;
 };
@@ -59,7 +58,6 @@
   ServiceName Name;
   std::string HealthPath = "/health";
   std::uint32_t MaxConnections = 1; ///< Of one target, from all processes.
-  Duration WarmUp{};                ///< How long a started target is cold.
   double ColdRequestRate = 0;       ///< Per second; what a cold target bears.
 };
 
--- a/balsamyard/src/Version/FleetView.h
+++ b/balsamyard/src/Version/FleetView.h
@@ -4,6 +4,7 @@
 #include "balsamyard/src/Core/RefCounted.h"
 #include "balsamyard/src/Version/Configuration.h"
 #include "balsamyard/src/Version/KnownTarget.h"
+#include "balsamyard/src/Version/MoveTraffic.h"
 #include "balsamyard/src/Version/RetryBudget.h"
 
 #include <vector>
@@ -35,6 +36,7 @@
 struct ServiceEntry {
   std::vector<Ref<KnownTarget>> Targets;
   Ref<RetryBudget> Budget;
+  Ref<MoveTraffic> Move; ///< Null unless the service has an order to move.
 };
 
 /// \brief Limits that follow from the number of processes.
--- /dev/null
+++ b/balsamyard/src/Version/MoveStatus.h
@@ -0,0 +1,10 @@
+#pragma once
+
+#include <cstdint>
+
+namespace balsamyard {
+
+/// \brief Where the move of traffic to another version stands.
+enum class MoveStatus : std::uint8_t { UnderWay, Done, TakenBack };
+
+} // namespace balsamyard
--- /dev/null
+++ b/balsamyard/src/Version/MoveTraffic.cpp
@@ -0,0 +1,64 @@
+#include "balsamyard/src/Version/MoveTraffic.h"
+
+#include <algorithm>
+#include <utility>
+#include <xxhash.h>
+
+namespace balsamyard {
+
+MoveTraffic::MoveTraffic(VersionName To, double Phase)
+    : To(std::move(To)), Owed(static_cast<std::uint64_t>(
+                             std::clamp(Phase, 0.0, 0.999) * WholeRequest)) {}
+
+void MoveTraffic::setShare(double Share) {
+  this->ShareMillionths.store(
+      static_cast<std::uint64_t>(std::clamp(Share, 0.0, 1.0) * WholeRequest),
+      std::memory_order_relaxed);
+}
+
+double MoveTraffic::share() const {
+  return static_cast<double>(
+             this->ShareMillionths.load(std::memory_order_relaxed)) /
+         WholeRequest;
+}
+
+bool MoveTraffic::takeTurn() {
+  const std::uint64_t Step =
+      this->ShareMillionths.load(std::memory_order_relaxed);
+  const std::uint64_t Former =
+      this->Owed.fetch_add(Step, std::memory_order_relaxed);
+  return Former / WholeRequest != (Former + Step) / WholeRequest;
+}
+
+void MoveTraffic::AtomicSide::count(AnswerQuality Quality) {
+  this->Answers.fetch_add(1, std::memory_order_relaxed);
+  if (Quality == AnswerQuality::Error)
+    this->Errors.fetch_add(1, std::memory_order_relaxed);
+  if (Quality == AnswerQuality::Slow)
+    this->Slow.fetch_add(1, std::memory_order_relaxed);
+}
+
+SideTally MoveTraffic::AtomicSide::read() const {
+  SideTally Result;
+  // Read before the answers, so that they are never more than these.
+  Result.Errors = this->Errors.load(std::memory_order_acquire);
+  Result.Slow = this->Slow.load(std::memory_order_acquire);
+  Result.Answers = this->Answers.load(std::memory_order_relaxed);
+  return Result;
+}
+
+void MoveTraffic::count(const RouteName &Route, bool IsNew,
+                        AnswerQuality Quality) {
+  const std::size_t Place =
+      XXH3_64bits(Route.Text.data(), Route.Text.size()) % TallyPlaces;
+  (IsNew ? this->New : this->Old)[Place].count(Quality);
+}
+
+MoveTally MoveTraffic::tally() const {
+  MoveTally Result;
+  for (std::size_t Place = 0; Place < TallyPlaces; ++Place)
+    Result[Place] = {this->New[Place].read(), this->Old[Place].read()};
+  return Result;
+}
+
+} // namespace balsamyard
--- a/balsamyard/src/Version/VersionJudge.cpp
+++ b/balsamyard/src/Version/VersionJudge.cpp
@@ -151,13 +151,15 @@
            " or more";
   };
   if (this->Errors.evidence() >= Threshold)
-    return {Verdict::Bad, Reason("failed", this->Errors), false};
+    return {Verdict::Bad, Reason("failed", this->Errors), false,
+            this->Errors.stepEvidence()};
   if (this->Slow.evidence() >= Threshold)
-    return {Verdict::Bad, Reason("slow", this->Slow), false};
+    return {Verdict::Bad, Reason("slow", this->Slow), false,
+            this->Slow.stepEvidence()};
   double Worst =
       std::max(this->Errors.stepEvidence(), this->Slow.stepEvidence());
   return {Worst <= GoodEvidence ? Verdict::Good : Verdict::Undecided, "",
-          Worst <= 0};
+          Worst <= 0, Worst};
 }
 
 } // namespace balsamyard
--- a/balsamyard/src/Version/VersionJudge.h
+++ b/balsamyard/src/Version/VersionJudge.h
@@ -16,6 +16,9 @@
   Verdict Value = Verdict::Undecided;
   std::string Reason;
   bool LeansGood = true; ///< No worse than the old version so far.
+
+  /// Log likelihood ratio of worse against no worse, since the step began.
+  double StepEvidence = 0;
 };
 
 /// \brief Increase of the share of bad answers that makes a version bad.
--- a/balsamyard/src/Version/VersionMove.h
+++ b/balsamyard/src/Version/VersionMove.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "balsamyard/src/Version/MoveStatus.h"
 #include "balsamyard/src/Version/RoutingView.h"
 #include "balsamyard/src/Version/VersionJudge.h"
 
@@ -25,8 +26,6 @@
 /// \brief Time for which a version is watched after the last step.
 inline constexpr Duration WatchTime = std::chrono::minutes(10);
 
-enum class MoveStatus : std::uint8_t { UnderWay, Done, TakenBack };
-
 /// \returns "under way", "done" or "taken back".
 std::string_view toText(MoveStatus Status);
 
--- a/tests/path/FakeFleet.h
+++ b/tests/path/FakeFleet.h
@@ -80,9 +80,13 @@
 struct Full {};
 /// \brief Another target has its address.
 struct Replaced {};
+/// \brief Runs the request and fails.
+struct Failing {};
+/// \brief Ends the connection without an answer, as if it had crashed.
+struct Crashing {};
 
-using Behaviour =
-    std::variant<Sound, Silent, Late, Doubling, Crossing, Full, Replaced>;
+using Behaviour = std::variant<Sound, Silent, Late, Doubling, Crossing, Full,
+                               Replaced, Failing, Crashing>;
 
 /// \brief A target that speaks the platform's protocol.
 class FakeTarget {
@@ -151,7 +155,15 @@
             [&](const Replaced &) {
               Held->answer("HTTP/1.1 421 Other\r\nContent-Length: 0\r\n\r\n",
                            true);
-            }},
+            },
+            [&](const Failing &) {
+              Held->answer("HTTP/1.1 500 Failed\r\nX-Balsamyard-Attempt-Id: " +
+                               RequestId +
+                               "\r\nX-Balsamyard-Server-Stamp: stamp-" +
+                               this->Id + "\r\nContent-Length: 0\r\n\r\n",
+                           true);
+            },
+            [&](const Crashing &) { Held->close(); }},
         this->Acts);
   }
 
@@ -162,7 +174,7 @@
   FakeServer Server;
 };
 
-/// \brief The platform's store: lists, watches and creates.
+/// \brief The platform's store: lists, watches and writes under a condition.
 class FakeStore {
 public:
   FakeStore()
@@ -180,27 +192,38 @@
   /// \brief Writes an object, or removes it if \p Spec is null.
   void put(const std::string &Kind, const std::string &Name,
            const nlohmann::json &Spec) {
-    std::promise<void> Done;
-    asio::post(this->Server.Io, [&] {
-      ++this->Revision;
-      auto &Objects = this->Kinds[Kind];
+    this->onThread([&] {
       if (Spec.is_null())
-        Objects.erase(Name);
+        this->remove(Kind, Name);
       else
-        Objects[Name] = {this->Revision, Spec};
-      this->History.push_back({this->Revision, Kind, Name, Spec});
-      this->wakeWatchers();
-      Done.set_value();
+        this->change(Kind, Name, Spec, nullptr);
     });
-    Done.get_future().wait();
+  }
+
+  /// \returns the status of an object, null if there is none.
+  nlohmann::json status(const std::string &Kind, const std::string &Name) {
+    nlohmann::json Result;
+    this->onThread([&] { Result = this->Kinds[Kind][Name].Status; });
+    return Result;
+  }
+
+  std::size_t count(const std::string &Kind) {
+    std::size_t Result = 0;
+    this->onThread([&] { Result = this->Kinds[Kind].size(); });
+    return Result;
   }
 
 private:
-  struct Change {
+  struct Stored {
     std::uint64_t Revision = 0;
+    nlohmann::json Spec;
+    nlohmann::json Status;
+  };
+  struct Change {
     std::string Kind;
     std::string Name;
-    nlohmann::json Spec;
+    Stored Value;
+    bool Removed = false;
   };
   struct Watcher {
     Ref<ServerConnection> Peer;
@@ -208,11 +231,33 @@
     std::uint64_t Since = 0;
   };
 
-  static nlohmann::json object(const std::string &Name, std::uint64_t Revision,
-                               const nlohmann::json &Spec) {
-    return {{"meta", {{"name", Name}, {"revision", Revision}}},
-            {"spec", Spec},
-            {"status", nullptr}};
+  template <typename Work> void onThread(const Work &Do) {
+    std::promise<void> Done;
+    asio::post(this->Server.Io, [&] {
+      Do();
+      Done.set_value();
+    });
+    Done.get_future().wait();
+  }
+
+  void change(const std::string &Kind, const std::string &Name,
+              const nlohmann::json &Spec, const nlohmann::json &Status) {
+    Stored &Object = this->Kinds[Kind][Name];
+    Object = {++this->Revision, Spec, Status};
+    this->History.push_back({Kind, Name, Object});
+    this->wakeWatchers();
+  }
+
+  void remove(const std::string &Kind, const std::string &Name) {
+    this->Kinds[Kind].erase(Name);
+    this->History.push_back({Kind, Name, {++this->Revision, {}, {}}, true});
+    this->wakeWatchers();
+  }
+
+  static nlohmann::json object(const std::string &Name, const Stored &Value) {
+    return {{"meta", {{"name", Name}, {"revision", Value.Revision}}},
+            {"spec", Value.Spec},
+            {"status", Value.Status}};
   }
 
   static void send(ServerConnection &Peer, int Status,
@@ -226,18 +271,15 @@
     const std::size_t Query = Target.find('?');
     const std::string Path = Target.substr(0, Query).substr(9);
     const std::string Kind = Path.substr(0, Path.find('/'));
-    if (Request.Method == "POST") {
-      ++this->Revision;
-      const auto Body = nlohmann::json::parse(Request.Body);
-      this->Kinds[Kind][Body["meta"]["name"]] = {this->Revision, Body["spec"]};
-      send(Peer, 200, Body);
+    if (Request.Method != "GET") {
+      this->onWrite(Peer, Request, Kind, Path);
       return;
     }
     const std::size_t Watch = Target.find("watch=");
     if (Watch == std::string::npos) {
       nlohmann::json Items = nlohmann::json::array();
       for (const auto &[Name, Value] : this->Kinds[Kind])
-        Items.push_back(object(Name, Value.first, Value.second));
+        Items.push_back(object(Name, Value));
       send(Peer, 200,
            {{"items", Items}, {"hasMore", false}, {"asOf", this->Revision}});
       return;
@@ -247,14 +289,43 @@
     this->wakeWatchers();
   }
 
+  void onWrite(ServerConnection &Peer, const HttpRequest &Request,
+               const std::string &Kind, const std::string &Path) {
+    std::string Name = Path.substr(Path.find('/') + 1);
+    const std::size_t Part = Name.find('/');
+    const bool OnlyStatus = Part != std::string::npos;
+    Name = Name.substr(0, Part);
+    auto &Objects = this->Kinds[Kind];
+    const auto Found = Objects.find(Name);
+    if ((Found != Objects.end()) == (Request.Method == "POST")) {
+      send(Peer, Request.Method == "POST" ? 409 : 404, nullptr);
+      return;
+    }
+    if (Request.Method == "DELETE") {
+      this->remove(Kind, Name);
+      send(Peer, 200, nullptr);
+      return;
+    }
+    const auto Body = nlohmann::json::parse(Request.Body);
+    const nlohmann::json &Meta = Body["meta"];
+    if (Meta.contains("revision") && Found != Objects.end() &&
+        Meta["revision"] != Found->second.Revision) {
+      send(Peer, 409, object(Name, Found->second));
+      return;
+    }
+    const Stored Former = Found == Objects.end() ? Stored{} : Found->second;
+    this->change(Kind, Name, OnlyStatus ? Former.Spec : Body["spec"],
+                 OnlyStatus ? Body["status"] : Former.Status);
+    send(Peer, 200, object(Name, Objects[Name]));
+  }
+
   void wakeWatchers() {
     std::erase_if(this->Watchers, [this](const Watcher &Each) {
       nlohmann::json Events = nlohmann::json::array();
       for (const Change &Past : this->History)
-        if (Past.Revision > Each.Since && Past.Kind == Each.Kind)
-          Events.push_back(
-              {{"object", object(Past.Name, Past.Revision, Past.Spec)},
-               {"removed", Past.Spec.is_null()}});
+        if (Past.Value.Revision > Each.Since && Past.Kind == Each.Kind)
+          Events.push_back({{"object", object(Past.Name, Past.Value)},
+                            {"removed", Past.Removed}});
       if (Events.empty())
         return false;
       send(*Each.Peer, 200, {{"events", Events}, {"asOf", this->Revision}});
@@ -263,9 +334,7 @@
   }
 
   std::uint64_t Revision = 1;
-  std::map<std::string,
-           std::map<std::string, std::pair<std::uint64_t, nlohmann::json>>>
-      Kinds;
+  std::map<std::string, std::map<std::string, Stored>> Kinds;
   std::vector<Change> History;
   std::vector<Watcher> Watchers;
   FakeServer Server;
--- a/tests/path/NodeTest.cpp
+++ b/tests/path/NodeTest.cpp
@@ -36,19 +36,20 @@
 
   FakeTarget &add(const std::string &Service, const std::string &Id,
                   const std::string &Record, Behaviour Acts,
-                  const std::string &State = "ready") {
+                  const std::string &State = "ready",
+                  const std::string &Version = "v1") {
     this->Targets.push_back(std::make_unique<FakeTarget>(Id, Record, Acts));
-    this->announce(Service, *this->Targets.back(), State);
+    this->announce(Service, *this->Targets.back(), State, Version);
     return *this->Targets.back();
   }
 
   void announce(const std::string &Service, const FakeTarget &Target,
-                const std::string &State) {
+                const std::string &State, const std::string &Version) {
     this->Store.put("servers", Target.Id,
                     {{"service", Service},
                      {"address", Target.address()},
                      {"zone", "east"},
-                     {"version", "v1"},
+                     {"version", Version},
                      {"slots", 3},
                      {"state", State},
                      {"warmupLeftMs", 0},
@@ -304,3 +305,41 @@
     }
   }
 }
+
+SCENARIO("a node moves a service to another version", "[node][move]") {
+  PlatformWorld World;
+  World.addRoute("/records/", {{"service", "records"}});
+  World.add("records", "i-old", "old", Sound{});
+  FakeTarget &Bad =
+      World.add("records", "i-new", "new", Failing{}, "ready", "v2");
+  World.Store.put(
+      "rollouts", "records",
+      {{"service", "records"}, {"targetVersion", "v2"}, {"durationS", 60}});
+  World.start();
+
+  GIVEN("a new version that fails") {
+    while (World.Store.status("rollouts", "records").is_null())
+      ::usleep(2000);
+    CHECK(World.Store.status("rollouts", "records")["state"] == "running");
+    int Sent = 0;
+    FakeCaller Caller = World.caller();
+    while (World.Store.status("rollouts", "records")["state"] != "rolled_back")
+      REQUIRE(Caller.ask(get("/records/x", "id-" + std::to_string(++Sent)))
+                  .Status == 200);
+    THEN("it is taken back, having got a small share of the requests") {
+      const json Status = World.Store.status("rollouts", "records");
+      CHECK(Status["targetVersion"] == "v2");
+      CHECK(!Status["reason"].get<std::string>().empty());
+      CHECK(static_cast<double>(Bad.requests().size()) <= 0.1 * Sent + 50);
+    }
+    THEN("it gets no more, and the counts leave the store") {
+      const std::size_t Former = Bad.requests().size();
+      for (int Count = 0; Count < 200; ++Count)
+        REQUIRE(Caller.ask(get("/records/x", "more-" + std::to_string(Count)))
+                    .Status == 200);
+      CHECK(Bad.requests().size() == Former);
+      while (World.Store.count("balsamyard-move-counts") > 0)
+        ::usleep(2000);
+    }
+  }
+}
--- a/tests/path/PlatformTest.cpp
+++ b/tests/path/PlatformTest.cpp
@@ -218,6 +218,59 @@
   }
 }
 
+SCENARIO("orders to move a service are read and reported", "[platform]") {
+  GIVEN("an order without a report") {
+    const auto Read = platform::readMove(object("records", R"({
+      "service": "records", "targetVersion": "v2", "durationS": 12})"));
+    THEN("it says what moves where, and until when") {
+      REQUIRE(Read);
+      CHECK(Read->Order.Service.Text == "records");
+      CHECK(Read->Order.To.Text == "v2");
+      CHECK(Read->Order.Within == std::chrono::seconds(12));
+      CHECK(!Read->Report);
+    }
+  }
+  GIVEN("a report that was written") {
+    MoveReport Report;
+    Report.To.Text = "v2";
+    Report.Status = MoveStatus::TakenBack;
+    Report.Step = MoveStep::Load;
+    Report.Due = WallTime(std::chrono::milliseconds(1234567));
+    Report.Reason = "it failed";
+    const std::string Call = platform::makeAdapter().MoveReportCall(
+        ServiceName{"records"}, Report, StoreRevision{41});
+    const auto Body =
+        nlohmann::json::parse(Call.substr(Call.find("\r\n\r\n") + 4));
+    THEN("it names the order's revision and the platform's state") {
+      CHECK(Call.starts_with("PUT /objects/rollouts/records/status HTTP/1.1"));
+      CHECK(Body["meta"]["revision"] == 41);
+      CHECK(Body["status"]["state"] == "rolled_back");
+      CHECK(Body["status"]["targetVersion"] == "v2");
+    }
+    THEN("it is read as it was") {
+      StoredObject Stored = object("records", R"({
+        "service": "records", "targetVersion": "v2", "durationS": 12})");
+      Stored.Status = Body["status"];
+      const auto Read = platform::readMove(Stored);
+      REQUIRE(Read);
+      REQUIRE(Read->Report);
+      CHECK(Read->Report->To == Report.To);
+      CHECK(Read->Report->Status == Report.Status);
+      CHECK(Read->Report->Step == Report.Step);
+      CHECK(Read->Report->Due == Report.Due);
+      CHECK(Read->Report->Reason == Report.Reason);
+    }
+  }
+  GIVEN("orders that say too little") {
+    THEN("they are refused") {
+      CHECK_FALSE(platform::readMove(object("a", "[]")));
+      CHECK_FALSE(platform::readMove(object("a", R"({"service": "a"})")));
+      CHECK_FALSE(platform::readMove(object("a", R"({
+        "service": "a", "targetVersion": "v2", "durationS": "soon"})")));
+    }
+  }
+}
+
 // Guards against names of the platform outside its folder, where they would be
 // decoded twice.
 TEST_CASE("names of the platform stay in its folder", "[platform]") {
@@ -234,7 +287,8 @@
            {"X-Balsamyard", "pathPrefix", "warmupLeftMs", "minCoverage",
             "trafficSplit", "maxConnections", "targetLatencyMs",
             "readinessAddr", "nodeName", "allowedRegions",
-            "BALSAMYARD_CONFIG\"", "allowStale"}) {
+            "BALSAMYARD_CONFIG\"", "allowStale", "targetVersion", "rolled_back",
+            "durationS", "canaryShare"}) {
         INFO(Each.path() << " " << Name);
         CHECK(Text.str().find(Name) == std::string::npos);
       }
--- /dev/null
+++ b/tests/path/ServiceMoveTest.cpp
@@ -0,0 +1,440 @@
+#include "balsamyard/src/Version/ServiceMove.h"
+#include "balsamyard/src/Process/MoveCounts.h"
+#include "tests/path/PathWorld.h"
+
+#include <catch2/catch.hpp>
+#include <functional>
+#include <random>
+
+using namespace balsamyard;
+using namespace balsamyard::test;
+
+namespace {
+
+/// The bounds that the platform states for a bad version.
+constexpr double Exposure = 0.1;
+constexpr double ExposureSlack = 50;
+constexpr Duration TakeBackTime = std::chrono::seconds(5);
+constexpr std::uint64_t BadUntilTakeBack = 50;
+
+/// \brief Whether the answer to a request is bad: at a time since the order, at
+/// a share of the new version, on a route, drawn from 0 to 1.
+using NewVersion =
+    std::function<AnswerQuality(Duration Age, double Share, int Route, double)>;
+
+/// \brief Several nodes that move one service, with a store between them, on
+/// virtual time.
+struct MovingFleet {
+  struct Member {
+    std::string Name;
+    ServiceMove Move;
+    Ref<MoveTraffic> Traffic;
+    MoveTally Told;
+    TimePoint ToldAt{};
+    TimePoint ReadAt{};
+    bool Alive = true;
+  };
+
+  MoveClock Clock{TimePoint{1000 * Second},
+                  WallTime{std::chrono::seconds(5000)}};
+  MoveSeen Order;
+  std::vector<Member> Members;
+  std::minstd_rand Random{7};
+  double RequestsPerSecond = 90;
+  double OldErrors = 0.01;
+  bool StoreAway = false;
+  bool HasNewTargets = true;
+
+  std::uint64_t Requests = 0;
+  std::uint64_t ToNew = 0;
+  std::uint64_t Bad = 0;
+  std::optional<TimePoint> EnoughBadAt;
+  TimePoint LastNewAt{};
+  std::optional<TimePoint> DoneAt;
+  std::optional<TimePoint> TakenBackAt;
+  TimePoint OrderedAt;
+
+  MovingFleet(std::size_t Count, Duration Within) : OrderedAt(Clock.Now) {
+    this->Order.Order = {ServiceName{"records"}, VersionName{"v2"}, Within};
+    this->Order.Revision = StoreRevision{10};
+    for (std::size_t At = 0; At < Count; ++At)
+      this->addMember("node-" + std::to_string(At));
+  }
+
+  void addMember(const std::string &Name) {
+    Member Next{Name,
+                ServiceMove(NodeName{Name}, Exposure),
+                makeRef<MoveTraffic>(VersionName{"v2"}, this->draw()),
+                {},
+                {},
+                {}};
+    Next.Move.handle(this->Order, this->Clock);
+    Next.Traffic->setShare(Next.Move.share());
+    this->Members.push_back(std::move(Next));
+  }
+
+  double draw() {
+    return static_cast<double>(this->Random() % 100000) / 100000;
+  }
+
+  void request(const NewVersion &Version) {
+    std::vector<Member *> Living;
+    for (Member &Each : this->Members)
+      if (Each.Alive)
+        Living.push_back(&Each);
+    if (Living.empty())
+      return;
+    Member &Served = *Living[this->Random() % Living.size()];
+    const int Route = static_cast<int>(this->Random() % 3);
+    const RouteName Name{"route-" + std::to_string(Route)};
+    ++this->Requests;
+    if (!Served.Traffic->takeTurn()) {
+      Served.Traffic->count(Name, false,
+                            this->draw() < this->OldErrors
+                                ? AnswerQuality::Error
+                                : AnswerQuality::Good);
+      return;
+    }
+    ++this->ToNew;
+    this->LastNewAt = this->Clock.Now;
+    const AnswerQuality Quality =
+        Version(this->Clock.Now - this->OrderedAt, Served.Traffic->share(),
+                Route, this->draw());
+    Served.Traffic->count(Name, true, Quality);
+    if (Quality != AnswerQuality::Good && ++this->Bad == BadUntilTakeBack)
+      this->EnoughBadAt = this->Clock.Now;
+  }
+
+  void write(const WriteMoveReport &Effect) {
+    if (this->StoreAway || Effect.Base != this->Order.Revision)
+      return;
+    this->Order.Report = Effect.Report;
+    this->Order.Revision =
+        StoreRevision{static_cast<std::uint64_t>(this->Order.Revision) + 1};
+    if (Effect.Report.Status == MoveStatus::Done)
+      this->DoneAt = this->Clock.Now;
+    if (Effect.Report.Status == MoveStatus::TakenBack)
+      this->TakenBackAt = this->Clock.Now;
+    for (Member &Each : this->Members)
+      if (Each.Alive)
+        Each.Move.handle(this->Order, this->Clock);
+  }
+
+  void tick(std::size_t At) {
+    Member &Each = this->Members[At];
+    const auto Rank = static_cast<std::uint32_t>(At);
+    std::vector<ServiceMoveEffect> Effects;
+    const auto Tell = [&](const ServiceMoveEvent &Event) {
+      for (const ServiceMoveEffect &Effect :
+           Each.Move.handle(Event, this->Clock))
+        Effects.push_back(Effect);
+    };
+    Tell(MoveCounted{NodeName{Each.Name}, 1, Each.Traffic->tally()});
+    if (!this->StoreAway && this->Clock.Now - Each.ReadAt >=
+                                800 * Millisecond + 750 * Millisecond * Rank) {
+      Each.ReadAt = this->Clock.Now;
+      for (const Member &Other : this->Members)
+        if (Other.Name != Each.Name)
+          Tell(MoveCounted{NodeName{Other.Name}, 1, Other.Told});
+    }
+    Tell(MoveTimePassed{this->HasNewTargets, Rank});
+    for (const ServiceMoveEffect &Effect : Effects)
+      this->write(std::get<WriteMoveReport>(Effect));
+    if (!this->StoreAway &&
+        this->Clock.Now - Each.ToldAt >= 400 * Millisecond) {
+      Each.ToldAt = this->Clock.Now;
+      Each.Told = Each.Traffic->tally();
+    }
+  }
+
+  void run(Duration Time, const NewVersion &Version) {
+    const Duration Step = 10 * Millisecond;
+    double Due = 0;
+    for (Duration Passed{}; Passed < Time; Passed += Step) {
+      this->Clock.Now += Step;
+      this->Clock.Wall += std::chrono::milliseconds(10);
+      for (Due += this->RequestsPerSecond * 0.01; Due >= 1; --Due)
+        this->request(Version);
+      // Ticks of the nodes do not coincide.
+      for (std::size_t At = 0; At < this->Members.size(); ++At)
+        if (this->Members[At].Alive &&
+            (Passed + Step * static_cast<int>(At % 25)) % (250 * Millisecond) ==
+                Duration::zero())
+          this->tick(At);
+      for (Member &Each : this->Members)
+        Each.Traffic->setShare(Each.Move.share());
+    }
+  }
+
+  Duration within() const { return this->Order.Order.Within; }
+
+  void checkExposure() const {
+    CAPTURE(this->ToNew, this->Requests, this->Bad);
+    CHECK(static_cast<double>(this->ToNew) <=
+          Exposure * static_cast<double>(this->Requests) + ExposureSlack);
+    if (this->EnoughBadAt)
+      CHECK(this->LastNewAt - *this->EnoughBadAt <= TakeBackTime);
+  }
+};
+
+AnswerQuality good(Duration, double, int, double Draw) {
+  return Draw < 0.01 ? AnswerQuality::Error : AnswerQuality::Good;
+}
+
+} // namespace
+
+SCENARIO("a service moves to a good version", "[move]") {
+  for (const Duration Within : {12 * Second, 30 * Second})
+    for (const double Rate : {5.0, 22.0, 90.0})
+      for (const std::size_t Nodes : {std::size_t(1), std::size_t(7)}) {
+        GIVEN("a version as good as the old one, " +
+              std::to_string(Within / Second) + " s, " + std::to_string(Rate) +
+              " requests/s, " + std::to_string(Nodes) + " nodes") {
+          MovingFleet Fleet(Nodes, Within);
+          Fleet.RequestsPerSecond = Rate;
+          Fleet.run(Within, good);
+          THEN("the move is done in time, and every node gives it everything") {
+            REQUIRE(Fleet.DoneAt);
+            CHECK(*Fleet.DoneAt - Fleet.OrderedAt <= Within);
+            for (const MovingFleet::Member &Each : Fleet.Members)
+              CHECK(Each.Move.share() == 1);
+          }
+        }
+      }
+
+  GIVEN("nodes of the lowest ranks that end during the trial") {
+    MovingFleet Fleet(7, 30 * Second);
+    Fleet.run(8 * Second, good);
+    for (std::size_t At = 0; At < 3; ++At)
+      Fleet.Members[At].Alive = false;
+    Fleet.run(22 * Second, good);
+    THEN("another node writes the steps") { CHECK(Fleet.DoneAt); }
+  }
+
+  GIVEN("a node that starts during the move") {
+    MovingFleet Fleet(3, 30 * Second);
+    Fleet.run(20 * Second, good);
+    Fleet.addMember("node-late");
+    THEN("it takes the step from the store") {
+      CHECK(Fleet.Members.back().Move.share() ==
+            Fleet.Members.front().Move.share());
+    }
+  }
+
+  GIVEN("nothing of the new version that serves") {
+    MovingFleet Fleet(3, 12 * Second);
+    Fleet.HasNewTargets = false;
+    Fleet.run(12 * Second, good);
+    THEN("the move is taken back before its time is over") {
+      REQUIRE(Fleet.TakenBackAt);
+      CHECK(*Fleet.TakenBackAt - Fleet.OrderedAt <= Fleet.within());
+    }
+  }
+}
+
+SCENARIO("a bad version is taken back", "[move]") {
+  struct Kind {
+    const char *Name;
+    NewVersion Version;
+  };
+  const std::vector<Kind> Kinds = {
+      {"fails from the start",
+       [](Duration, double, int, double Draw) {
+         return Draw < 0.4 ? AnswerQuality::Error : AnswerQuality::Good;
+       }},
+      {"is slow from the start",
+       [](Duration, double, int, double Draw) {
+         return Draw < 0.8 ? AnswerQuality::Slow : AnswerQuality::Good;
+       }},
+      {"fails later",
+       [](Duration Age, double, int, double Draw) {
+         return Age > 4 * Second && Draw < 0.4 ? AnswerQuality::Error
+                                               : AnswerQuality::Good;
+       }},
+      {"fails under load",
+       [](Duration, double Share, int, double Draw) {
+         return Share > 0.2 && Draw < 0.5 ? AnswerQuality::Error
+                                          : AnswerQuality::Good;
+       }},
+      {"fails on one route",
+       [](Duration, double, int Route, double Draw) {
+         return Route == 1 && Draw < 0.6 ? AnswerQuality::Error
+                                         : AnswerQuality::Good;
+       }},
+  };
+  for (const Kind &Each : Kinds)
+    for (const Duration Within : {12 * Second, 30 * Second})
+      for (const double Rate : {22.0, 90.0}) {
+        GIVEN("a version that " + std::string(Each.Name) + ", " +
+              std::to_string(Within / Second) + " s, " + std::to_string(Rate) +
+              " requests/s") {
+          MovingFleet Fleet(7, Within);
+          Fleet.RequestsPerSecond = Rate;
+          Fleet.run(Within, Each.Version);
+          THEN("it is taken back in time and got a small share of requests") {
+            CHECK(Fleet.TakenBackAt);
+            CHECK(!Fleet.DoneAt);
+            Fleet.checkExposure();
+          }
+        }
+      }
+
+  GIVEN("a store that goes away at the start of the move") {
+    MovingFleet Fleet(7, 30 * Second);
+    Fleet.run(1 * Second, Kinds[0].Version);
+    Fleet.StoreAway = true;
+    Fleet.run(29 * Second, Kinds[0].Version);
+    THEN("each node takes it back for itself") {
+      CHECK(!Fleet.TakenBackAt);
+      for (const MovingFleet::Member &Each : Fleet.Members)
+        CHECK(Each.Move.share() <= Exposure);
+      CHECK(static_cast<double>(Fleet.ToNew) <=
+            Exposure * static_cast<double>(Fleet.Requests) + ExposureSlack);
+    }
+    WHEN("the store is back") {
+      Fleet.StoreAway = false;
+      Fleet.run(2 * Second, Kinds[0].Version);
+      THEN("it is taken back for all") { CHECK(Fleet.TakenBackAt); }
+    }
+  }
+}
+
+SCENARIO("turns of a moving version keep to its share", "[move]") {
+  MoveTraffic Traffic(VersionName{"v2"}, 0.5);
+  GIVEN("a share of 0.04") {
+    Traffic.setShare(0.04);
+    THEN("any run of requests gives it its share, rounded") {
+      int Turns = 0;
+      for (int Count = 1; Count <= 1000; ++Count) {
+        Turns += Traffic.takeTurn() ? 1 : 0;
+        CHECK(std::abs(Turns - 0.04 * Count) <= 1);
+      }
+    }
+  }
+  GIVEN("a version that was taken back") {
+    Traffic.setShare(0);
+    THEN("it gets none") {
+      for (int Count = 0; Count < 1000; ++Count)
+        CHECK(!Traffic.takeTurn());
+    }
+  }
+}
+
+SCENARIO("requests choose between the versions of a moving service",
+         "[move][scatter]") {
+  PathWorld World(singleRoute(true, 3));
+  const ServiceNumber Service = World.addService("records");
+  KnownTarget &Old = World.addTarget(Service, "old");
+  TargetInfo Info = Old.Info;
+  Info.Id.Text = "new";
+  Info.Version.Text = "v2";
+  const auto New = makeRef<KnownTarget>(Info);
+  World.View->Services[Service].Targets.push_back(New);
+  const auto Traffic = makeRef<MoveTraffic>(VersionName{"v2"}, 0.0);
+  World.View->Services[Service].Move = Traffic;
+
+  GIVEN("a version in trial") {
+    Traffic->setShare(0.25);
+    THEN("it gets its share") {
+      int ToNew = 0;
+      for (int Count = 0; Count < 100; ++Count) {
+        RunningRequest Each(World);
+        Each.tell(ScatterStarted{});
+        ToNew += &Each.Decisions.targetOf(0) == New.get() ? 1 : 0;
+      }
+      CHECK(ToNew == 25);
+    }
+    AND_GIVEN("an old target that is unreachable") {
+      Old.setReach(Reach::Down);
+      THEN("the new version gets no more than its share") {
+        int Refused = 0;
+        for (int Count = 0; Count < 100; ++Count) {
+          RunningRequest Each(World);
+          Each.tell(ScatterStarted{});
+          Refused += Each.Decisions.finished() ? 1 : 0;
+        }
+        CHECK(Refused == 75);
+      }
+    }
+  }
+  GIVEN("a version that has everything, and no target of it that serves") {
+    Traffic->setShare(1);
+    New->setReach(Reach::Down);
+    THEN("the old version serves") {
+      RunningRequest Each(World);
+      Each.tell(ScatterStarted{});
+      CHECK(&Each.Decisions.targetOf(0) == &Old);
+    }
+  }
+  GIVEN("answers of the new version") {
+    Traffic->setShare(1);
+    const auto Sum = [&] {
+      SideTally Result;
+      for (const RouteTally &Place : Traffic->tally()) {
+        Result.Answers += Place.New.Answers;
+        Result.Errors += Place.New.Errors;
+        Result.Slow += Place.New.Slow;
+      }
+      return Result;
+    };
+    RunningRequest Each(World);
+    Each.startAndSend();
+    WHEN("it answers in the usual time") {
+      Each.answer(0, "receipt");
+      THEN("the answer is good") { CHECK(Sum() == SideTally{1, 0, 0}); }
+    }
+    WHEN("it answers several times later") {
+      Each.pass(4 * World.View->Stats[0]->Median.value());
+      Each.answer(0, "receipt");
+      THEN("the answer is slow") { CHECK(Sum() == SideTally{1, 0, 1}); }
+    }
+    WHEN("it fails") {
+      Each.failWith(0, 500);
+      THEN("the answer is an error") { CHECK(Sum() == SideTally{1, 1, 0}); }
+    }
+    WHEN("it rejects the request") {
+      Each.reject(0);
+      THEN("that says nothing about the version") {
+        CHECK(Sum() == SideTally{0, 0, 0});
+      }
+    }
+    WHEN("it is cold") {
+      New->coldUntil(World.Now + Second);
+      Each.failWith(0, 500);
+      THEN("that says nothing about the version") {
+        CHECK(Sum() == SideTally{0, 0, 0});
+      }
+    }
+  }
+}
+
+SCENARIO("counts of a move pass through the store", "[move]") {
+  SharedCounts Counts;
+  Counts.Service.Text = "records";
+  Counts.To.Text = "v2";
+  Counts.Counts.Node.Text = "node-1";
+  Counts.Counts.Incarnation = 77;
+  Counts.Counts.Tally[3] = {{10, 2, 1}, {90, 0, 4}};
+  GIVEN("what a node wrote") {
+    const Expected<SharedCounts> Read = decodeCounts(encodeCounts(Counts));
+    THEN("it is read as it was") {
+      REQUIRE(Read);
+      CHECK(Read->Service == Counts.Service);
+      CHECK(Read->To == Counts.To);
+      CHECK(Read->Counts.Node == Counts.Counts.Node);
+      CHECK(Read->Counts.Incarnation == 77);
+      CHECK(Read->Counts.Tally == Counts.Counts.Tally);
+    }
+  }
+  GIVEN("content of another writer") {
+    THEN("it is refused") {
+      CHECK(!decodeCounts(nlohmann::json(3)));
+      CHECK(!decodeCounts({{"service", "records"}}));
+      nlohmann::json Row = encodeCounts(Counts);
+      Row["rows"][0][0] = TallyPlaces;
+      CHECK(!decodeCounts(Row));
+      Row["rows"][0] = {1, 2, -3, 4, 5, 6, 7};
+      CHECK(!decodeCounts(Row));
+    }
+  }
+}
