Give channels the health path of their service from each view

Ruled out: connection limits (no resets), full targets (they answer 503), the store (nodes were ready within 70 ms).

A request lets the channels follow its view first; a channel takes limit and health path from each view. A rejected check has a log line now.

Test: "a request comes before the channels follow its view" failed before.

--- a/balsamyard/src/Connection/TargetChannel.cpp
+++ b/balsamyard/src/Connection/TargetChannel.cpp
@@ -10,10 +10,9 @@
 namespace balsamyard {
 
 TargetChannel::TargetChannel(asio::io_context &Context, Ref<KnownTarget> Target,
-                             const TargetProtocol &Protocol,
-                             std::string HealthPath)
+                             const TargetProtocol &Protocol)
     : Context(Context), Target(std::move(Target)), Protocol(Protocol),
-      HealthPath(std::move(HealthPath)), IdleLimit(Times.IdleLimit) {}
+      IdleLimit(Times.IdleLimit) {}
 
 std::size_t TargetChannel::openLinks() const {
   return static_cast<std::size_t>(std::count_if(
@@ -274,6 +273,9 @@
   // whether it is cold.
   if (Id.empty()) {
     Link->close();
+    logEvent(LogLevel::Info, "target-check-rejected",
+             {{"target", this->Target->Info.Id.Text},
+              {"status", std::int64_t(Result->Status)}});
     this->NextProbe = Now + this->ProbePause;
     return;
   }
@@ -366,22 +368,27 @@
   return Result;
 }
 
-void TargetChannels::follow(Ref<const FleetView> Next, std::size_t Threads) {
+void TargetChannels::follow(const Ref<const FleetView> &Next) {
+  if (Next == this->View)
+    return;
+  this->View = Next;
+  this->applyView();
+}
+
+void TargetChannels::applyView() {
   const TimePoint Now = steadyNow();
-  this->View = std::move(Next);
-  this->Threads = Threads;
   std::unordered_set<const KnownTarget *> Listed;
   for (ServiceNumber At = 0; At < this->View->Services.size(); ++At)
     for (const Ref<KnownTarget> &Target : this->View->Services[At].Targets) {
       Listed.insert(Target.get());
       Ref<TargetChannel> &Known = this->Channels[Target.get()];
       if (!Known)
-        Known =
-            makeRef<TargetChannel>(this->Context, Target, this->Protocol,
-                                   this->View->Config->Services[At].HealthPath);
+        Known = makeRef<TargetChannel>(this->Context, Target, this->Protocol);
       const Ref<TargetChannel> Channel = Known;
-      Channel->setLinks(this->View->linkLimit(At, Target->preferred(), Threads,
-                                              Now - this->Started));
+      Channel->configure(this->View->linkLimit(At, Target->preferred(),
+                                               this->Threads,
+                                               Now - this->Started),
+                         this->View->Config->Services[At].HealthPath);
       Channel->resume();
       Channel->tick(Now);
     }
@@ -394,7 +401,7 @@
   Ref<TargetChannel> &Channel = this->Channels[&Target];
   if (!Channel) {
     Channel = makeRef<TargetChannel>(this->Context, Ref<KnownTarget>(&Target),
-                                     this->Protocol, "/");
+                                     this->Protocol);
     Channel->retire();
   }
   return *Channel;
@@ -404,7 +411,7 @@
   if (!this->Ramped && this->View &&
       Now - this->Started >= FormerLinksLifetime) {
     this->Ramped = true;
-    this->follow(this->View, this->Threads);
+    this->applyView();
   }
   for (const Ref<TargetChannel> &Channel : this->all()) {
     Channel->tick(Now);
--- a/balsamyard/src/Connection/TargetChannel.h
+++ b/balsamyard/src/Connection/TargetChannel.h
@@ -52,7 +52,7 @@
 class TargetChannel : public RefCounted<TargetChannel> {
 public:
   TargetChannel(asio::io_context &Context, Ref<KnownTarget> Target,
-                const TargetProtocol &Protocol, std::string HealthPath);
+                const TargetProtocol &Protocol);
 
   /// \brief Sends the call as soon as a connection is free.
   void submit(Ref<LinkCall> Call);
@@ -67,7 +67,11 @@
   /// \brief Checks deadlines, idle connections and unreachable targets.
   void tick(TimePoint Now);
 
-  void setLinks(LinkLimit Next) { this->Limit = Next; }
+  /// \brief Applies what the view says of the target's service.
+  void configure(LinkLimit Next, const std::string &NextHealthPath) {
+    this->Limit = Next;
+    this->HealthPath = NextHealthPath;
+  }
 
   /// \brief The target may get no new requests; running ones finish.
   void retire();
@@ -113,7 +117,7 @@
   asio::io_context &Context;
   const Ref<KnownTarget> Target;
   const TargetProtocol &Protocol;
-  const std::string HealthPath;
+  std::string HealthPath; ///< Empty until the view has named the target.
   const ChannelTimes Times;
   LinkLimit Limit;
   std::vector<Ref<LinkEntry>> Links;
@@ -131,12 +135,15 @@
 /// \brief The channels of one I/O thread.
 class TargetChannels {
 public:
-  TargetChannels(asio::io_context &Context, const TargetProtocol &Protocol)
-      : Context(Context), Protocol(Protocol), Started(steadyNow()) {}
+  /// \p Threads share the connections of the process.
+  TargetChannels(asio::io_context &Context, const TargetProtocol &Protocol,
+                 std::size_t Threads)
+      : Context(Context), Protocol(Protocol), Threads(Threads),
+        Started(steadyNow()) {}
 
   /// \brief Opens channels to new targets of \p Next and retires those that
-  /// are not in it. \p Threads share the connections of the process.
-  void follow(Ref<const FleetView> Next, std::size_t Threads);
+  /// are not in it. Does nothing if it follows \p Next already.
+  void follow(const Ref<const FleetView> &Next);
 
   /// \returns the channel of a target, also of one that left the view while a
   /// request still refers to it.
@@ -149,11 +156,13 @@
   /// over a copy.
   std::vector<Ref<TargetChannel>> all() const;
 
+  void applyView();
+
   asio::io_context &Context;
   const TargetProtocol &Protocol;
+  const std::size_t Threads;
   const TimePoint Started;
   Ref<const FleetView> View;
-  std::size_t Threads = 1;
   bool Ramped = false; ///< The connections of a former process are gone.
   std::unordered_map<const KnownTarget *, Ref<TargetChannel>> Channels;
 };
--- a/balsamyard/src/Process/Node.cpp
+++ b/balsamyard/src/Process/Node.cpp
@@ -43,9 +43,9 @@
 PathThread::PathThread(const TargetProtocol &Protocol,
                        const RcuCell<FleetView> &View,
                        std::atomic<std::uint32_t> &InFlight, std::uint64_t Seed,
-                       std::size_t Number)
+                       std::size_t Number, std::size_t Threads)
     : Io(1), Work(asio::make_work_guard(this->Io)), View(View),
-      Channels(this->Io, Protocol),
+      Channels(this->Io, Protocol, Threads),
       Context{this->Io,       this->Channels,
               Protocol,       View,
               this->Counters, InFlight,
@@ -75,11 +75,11 @@
     this->Thread.join();
 }
 
-void PathThread::follow(std::size_t Threads) {
-  asio::post(this->Io, [this, Threads] {
+void PathThread::follow() {
+  asio::post(this->Io, [this] {
     const Ref<const FleetView> Current = this->View.read();
     if (Current->Config)
-      this->Channels.follow(Current, Threads);
+      this->Channels.follow(Current);
   });
 }
 
@@ -111,7 +111,7 @@
       Agent(this->Control, this->Settings, this->Adapter, this->View,
             [this] {
               for (const auto &Path : this->Paths)
-                Path->follow(this->Paths.size());
+                Path->follow();
             }),
       Readiness(this->Control,
                 ServerHooks{
@@ -142,7 +142,8 @@
   for (std::uint32_t Count = 0; Count < this->Settings.Cores; ++Count) {
     this->Paths.push_back(std::make_unique<PathThread>(
         this->Protocol, this->View, this->InFlight,
-        (std::uint64_t(Entropy()) << 32) + Entropy(), Count));
+        (std::uint64_t(Entropy()) << 32) + Entropy(), Count,
+        this->Settings.Cores));
     // All threads listen on the port that the first one got.
     if (Count > 0)
       this->Settings.Callers.Port = this->Paths.front()->port();
--- a/balsamyard/src/Process/Node.h
+++ b/balsamyard/src/Process/Node.h
@@ -36,7 +36,7 @@
 public:
   PathThread(const TargetProtocol &Protocol, const RcuCell<FleetView> &View,
              std::atomic<std::uint32_t> &InFlight, std::uint64_t Seed,
-             std::size_t Number);
+             std::size_t Number, std::size_t Threads);
 
   /// \brief Listens for callers; throws std::system_error if it cannot.
   void listen(const asio::ip::tcp::endpoint &At);
@@ -45,8 +45,8 @@
   void start();
   void stop();
 
-  /// \brief The view has changed; \p Threads share the connections.
-  void follow(std::size_t Threads);
+  /// \brief The view has changed.
+  void follow();
 
   void beginStop();
   void closeIdle();
--- a/balsamyard/src/Request/RequestRun.cpp
+++ b/balsamyard/src/Request/RequestRun.cpp
@@ -71,6 +71,8 @@
            {503, "no configuration is known yet", StartRetryAfter});
     return;
   }
+  // The view may be newer than the one that the channels were told to follow.
+  Context.Channels.follow(View);
   const std::ptrdiff_t At = View->Config->match(*Host, pathOf(Request.Target));
   if (At < 0) {
     reject(Context, Caller, {404, "no route matches"});
--- a/tests/path/TargetChannelTest.cpp
+++ b/tests/path/TargetChannelTest.cpp
@@ -1,5 +1,6 @@
 #include "balsamyard/src/Connection/TargetChannel.h"
 #include "platform/Platform.h"
+#include "tests/path/FakeFleet.h"
 #include "tests/path/PathWorld.h"
 
 #include <catch2/catch.hpp>
@@ -25,7 +26,7 @@
 SCENARIO("calls move to new targets while channels are retired", "[channel]") {
   asio::io_context Io;
   const TargetProtocol Protocol(platform::makeAdapter().Headers);
-  TargetChannels Channels(Io, Protocol);
+  TargetChannels Channels(Io, Protocol, 1);
   PathWorld World(singleRoute(true));
   const ServiceNumber Service = World.addService("records");
   std::vector<KnownTarget *> Old;
@@ -37,7 +38,7 @@
   World.input();
   const std::vector<Ref<KnownTarget>> Kept =
       World.View->Services[Service].Targets;
-  Channels.follow(World.View, 1);
+  Channels.follow(World.View);
 
   GIVEN("calls that wait at every target") {
     std::vector<Ref<KnownTarget>> Next;
@@ -56,8 +57,9 @@
       Channels.of(*Target).submit(Waiting);
     }
     WHEN("the targets leave the view") {
-      World.View->Services[Service].Targets.clear();
-      Channels.follow(World.View, 1);
+      const auto Later = makeRef<FleetView>(*World.View);
+      Later->Services[Service].Targets.clear();
+      Channels.follow(Later);
       THEN("every call ends once, and every channel is retired") {
         CHECK(Ended == 20);
         for (KnownTarget *Target : Old)
@@ -92,3 +94,39 @@
     CHECK((Steady.Warm + Starting.Most) * Each.Nodes <= Each.MaxConnections);
   }
 }
+
+// After a loss of power of all nodes the first request was there before the
+// channels of its targets. They were opened for it without the health path of
+// their service, so no health page ever showed them as reachable again.
+SCENARIO("a request comes before the channels follow its view", "[channel]") {
+  const FakeTarget Running("i-1", "record", Sound{});
+  const std::string Address = Running.address();
+  asio::io_context Io;
+  const TargetProtocol Protocol(platform::makeAdapter().Headers);
+  TargetChannels Channels(Io, Protocol, 1);
+  PathWorld World(singleRoute(true));
+  const ServiceNumber Service = World.addService("records");
+  World.Config->Services[Service].HealthPath = "/health";
+  TargetInfo Info;
+  Info.Id.Text = Running.Id;
+  Info.Address = {"127.0.0.1", static_cast<std::uint16_t>(std::stoi(
+                                   Address.substr(Address.find(':') + 1)))};
+  const auto Target = makeRef<KnownTarget>(Info);
+  World.View->Services[Service].Targets.push_back(Target);
+  World.input();
+
+  GIVEN("a target whose channel was opened for the request") {
+    Channels.of(*Target);
+    WHEN("the channels follow the view") {
+      Channels.follow(World.View);
+      const TimePoint GiveUp = steadyNow() + 5 * Second;
+      while (Target->reach() != Reach::Up && steadyNow() < GiveUp) {
+        Io.run_one_for(std::chrono::milliseconds(10));
+        Channels.tick(steadyNow());
+      }
+      THEN("its health page is asked on the path of its service") {
+        CHECK(Target->reach() == Reach::Up);
+      }
+    }
+  }
+}
