Refuse requests that crash the targets which run them

Weighed: counting at each node alone (N nodes let N times as many through); datagrams between nodes (a second protocol); charging each broken connection (resets of connections and a loss of many targets would blame every request in flight). A success anywhere clears it. The refusal is a 503 with Retry-After, since it has not run.

StoreCalls is the queue of calls that MoveAgent had for itself.

Tests: tests/path/CrashRecordsTest.cpp on virtual time, NodeTest with the real node.

--- /dev/null
+++ b/balsamyard/src/Connection/StoreCalls.cpp
@@ -0,0 +1,37 @@
+#include "balsamyard/src/Connection/StoreCalls.h"
+
+#include <utility>
+
+namespace balsamyard {
+
+void StoreCalls::call(std::string Message, StoreChannel::Handler Done) {
+  if (this->Calls.size() >= MaxWaiting) {
+    Done(fail(Code::PlatformUnavailable, "too many calls wait"));
+    return;
+  }
+  this->Calls.push_back({std::move(Message), std::move(Done)});
+  if (this->Calls.size() == 1)
+    this->sendFirst();
+}
+
+void StoreCalls::sendFirst() {
+  this->Channel.call(this->Calls.front().Message, StoreChannel::CallTimeout,
+                     [this](Expected<HttpResponse> Result) {
+                       const Waiting Ended = std::move(this->Calls.front());
+                       this->Calls.pop_front();
+                       if (!this->Calls.empty())
+                         this->sendFirst();
+                       Ended.Done(std::move(Result));
+                     });
+}
+
+bool isDone(const Expected<HttpResponse> &Result) {
+  return Result && Result->Status / 100 == 2;
+}
+
+std::string describeResult(const Expected<HttpResponse> &Result) {
+  return Result ? "status " + std::to_string(Result->Status)
+                : Result.error().Detail;
+}
+
+} // namespace balsamyard
--- /dev/null
+++ b/balsamyard/src/Connection/StoreCalls.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "balsamyard/src/Connection/StoreChannel.h"
+
+#include <deque>
+
+namespace balsamyard {
+
+/// \brief Calls to the store that wait for each other, in their order.
+class StoreCalls {
+public:
+  /// Waiting calls; when the store is away, what comes on top is refused, so
+  /// that neither memory nor the first seconds of its return suffer.
+  static constexpr std::size_t MaxWaiting = 256;
+
+  StoreCalls(asio::io_context &Context, Endpoint Store)
+      : Channel(Context, std::move(Store)) {}
+
+  /// \brief Sends a call after all earlier ones have ended. \p Done is called
+  /// once.
+  void call(std::string Message, StoreChannel::Handler Done);
+
+  /// \brief Later calls go to \p Next.
+  void setStore(Endpoint Next) { this->Channel.setStore(std::move(Next)); }
+
+private:
+  struct Waiting {
+    std::string Message;
+    StoreChannel::Handler Done;
+  };
+
+  void sendFirst();
+
+  StoreChannel Channel;
+  std::deque<Waiting> Calls; ///< The first one is running.
+};
+
+/// \returns whether the store has done what the call asked for.
+bool isDone(const Expected<HttpResponse> &Result);
+
+/// \returns what the store answered, for a log line.
+std::string describeResult(const Expected<HttpResponse> &Result);
+
+} // namespace balsamyard
--- /dev/null
+++ b/balsamyard/src/Process/CrashAgent.cpp
@@ -0,0 +1,108 @@
+#include "balsamyard/src/Process/CrashAgent.h"
+
+#include "balsamyard/src/Core/Log.h"
+
+namespace balsamyard {
+
+CrashAgent::CrashAgent(asio::io_context &Context, const NodeSettings &Settings,
+                       const PlatformAdapter &Adapter, Discovery &Known,
+                       std::function<void()> OnChanged)
+    : Adapter(Adapter), Known(Known), OnChanged(std::move(OnChanged)),
+      Decisions(Settings.Node), Calls(Context, Settings.Store), Timer(Context) {
+  this->Known.setCrashes(this->Decisions.list());
+}
+
+void CrashAgent::reload(const NodeSettings &Next) {
+  this->Calls.setStore(Next.Store);
+}
+
+void CrashAgent::report(const RequestCrashEvent &Event) {
+  std::visit([this](const auto &What) { this->apply(What); }, Event);
+}
+
+void CrashAgent::see(const StoredObject &Object) {
+  const Expected<CrashRecord> Read = decodeCrashRecord(Object.Content);
+  if (!Read || crashRecordName(*Read) != Object.Name) {
+    logEvent(LogLevel::Warning, "crash-record-unreadable",
+             {{"object", Object.Name}});
+    return;
+  }
+  if (this->Names.empty())
+    this->check();
+  this->Names.insert(Object.Name);
+  this->apply(CrashRecordSeen{*Read});
+}
+
+void CrashAgent::drop(const std::string &Name) {
+  this->Names.erase(Name);
+  this->apply(CrashRecordRemoved{Name});
+}
+
+void CrashAgent::keepOnly(const std::set<std::string> &Listed) {
+  const std::set<std::string> Former = this->Names;
+  for (const std::string &Name : Former)
+    if (!Listed.contains(Name))
+      this->drop(Name);
+}
+
+void CrashAgent::check() {
+  this->Timer.expires_after(CheckInterval);
+  this->Timer.async_wait([this](const asio::error_code &Cancelled) {
+    if (Cancelled || this->Names.empty())
+      return;
+    this->apply(CrashTimePassed{this->Known.rank()});
+    this->check();
+  });
+}
+
+void CrashAgent::apply(const CrashRecordEvent &Event) {
+  for (const CrashRecordEffect &Effect :
+       this->Decisions.handle(Event, steadyNow()))
+    std::visit([this](const auto &What) { this->perform(What); }, Effect);
+  const Ref<const CrashList> Next = this->Decisions.list();
+  if (Next->Known == this->Known.crashes()->Known)
+    return;
+  for (const auto &[Print, Standing] : Next->Known)
+    if (Standing == CrashStanding::Refused &&
+        this->Known.crashes()->find(Print) != CrashStanding::Refused)
+      logEvent(LogLevel::Warning, "request-refused-from-now",
+               {{"print", std::to_string(static_cast<std::uint64_t>(Print))}});
+  this->Known.setCrashes(Next);
+  this->OnChanged();
+}
+
+void CrashAgent::perform(const WriteCrashRecord &Effect) {
+  const std::string Name = crashRecordName(Effect.Record);
+  const nlohmann::json Content = encodeCrashRecord(Effect.Record);
+  logEvent(
+      LogLevel::Warning, "request-crashed-targets",
+      {{"print",
+        std::to_string(static_cast<std::uint64_t>(Effect.Record.Print))},
+       {"requests", std::int64_t(Effect.Record.Requests)},
+       {"targets", static_cast<std::int64_t>(Effect.Record.Targets.size())}});
+  this->Calls.call(
+      Effect.Create
+          ? this->Adapter.CreateCall(ObjectKind::Crashes, Name, Content)
+          : this->Adapter.ReplaceCall(ObjectKind::Crashes, Name, Content),
+      [Name](const Expected<HttpResponse> &Result) {
+        // The next crash writes the whole record again.
+        if (!isDone(Result))
+          logEvent(LogLevel::Warning, "crash-record-not-written",
+                   {{"object", Name}, {"detail", describeResult(Result)}});
+      });
+}
+
+void CrashAgent::perform(const RemoveCrashRecord &Effect) {
+  this->Calls.call(
+      this->Adapter.RemoveCall(ObjectKind::Crashes, Effect.Name),
+      [Name = Effect.Name](const Expected<HttpResponse> &Result) {
+        const bool Gone =
+            isDone(Result) ||
+            (Result && Result->Status == StoreChannel::NotFoundStatus);
+        if (!Gone)
+          logEvent(LogLevel::Warning, "crash-record-not-removed",
+                   {{"object", Name}, {"detail", describeResult(Result)}});
+      });
+}
+
+} // namespace balsamyard
--- /dev/null
+++ b/balsamyard/src/Process/CrashRecords.cpp
@@ -0,0 +1,149 @@
+#include "balsamyard/src/Process/CrashRecords.h"
+
+#include <algorithm>
+
+namespace balsamyard {
+
+namespace {
+
+using Json = nlohmann::json;
+
+} // namespace
+
+Json encodeCrashRecord(const CrashRecord &Record) {
+  Json Targets = Json::array();
+  for (const TargetId &Target : Record.Targets)
+    Targets.push_back(Target.Text);
+  return {{"print", static_cast<std::uint64_t>(Record.Print)},
+          {"node", Record.Node.Text},
+          {"requests", Record.Requests},
+          {"targets", std::move(Targets)}};
+}
+
+Expected<CrashRecord> decodeCrashRecord(const Json &Content) {
+  const auto Bad = [] {
+    return fail(Code::PlatformMalformed,
+                "a crash record lacks a field or has one of another type");
+  };
+  if (!Content.is_object())
+    return Bad();
+  const auto Field = [&Content](const char *Name) {
+    const auto Found = Content.find(Name);
+    return Found == Content.end() ? Json() : *Found;
+  };
+  if (!Field("print").is_number_unsigned() || !Field("node").is_string() ||
+      !Field("requests").is_number_unsigned() || !Field("targets").is_array())
+    return Bad();
+  CrashRecord Result;
+  Result.Print = Fingerprint{Field("print").get<std::uint64_t>()};
+  Result.Node.Text = Field("node").get<std::string>();
+  Result.Requests = Field("requests").get<std::uint32_t>();
+  for (const Json &Target : Field("targets")) {
+    if (!Target.is_string())
+      return Bad();
+    Result.Targets.insert(TargetId{Target.get<std::string>()});
+  }
+  return Result;
+}
+
+std::string crashRecordName(const CrashRecord &Record) {
+  return std::to_string(static_cast<std::uint64_t>(Record.Print)) + "." +
+         Record.Node.Text;
+}
+
+std::vector<CrashRecordEffect>
+CrashRecords::handle(const CrashRecordEvent &Event, TimePoint Now) {
+  Effects Out;
+  std::visit([&](const auto &Body) { this->on(Body, Now, Out); }, Event);
+  return Out;
+}
+
+std::map<Fingerprint, CrashStanding> CrashRecords::standings() const {
+  std::map<Fingerprint, CrashRecord> Sums;
+  for (const auto &[Name, Each] : this->Records) {
+    CrashRecord &Sum = Sums[Each.Record.Print];
+    Sum.Requests += Each.Record.Requests;
+    Sum.Targets.insert(Each.Record.Targets.begin(), Each.Record.Targets.end());
+  }
+  std::map<Fingerprint, CrashStanding> Result;
+  for (const auto &[Print, Sum] : Sums)
+    Result[Print] = Sum.Requests >= RequestsUntilRefused &&
+                            Sum.Targets.size() >= CrashesUntilRefused
+                        ? CrashStanding::Refused
+                        : CrashStanding::Suspected;
+  return Result;
+}
+
+Ref<const CrashList> CrashRecords::list() const {
+  auto Result = makeRef<CrashList>();
+  for (const auto &[Print, Standing] : this->standings())
+    Result->Known.emplace(Print, Standing);
+  return Result;
+}
+
+void CrashRecords::on(const CrashRecordSeen &Event, TimePoint Now, Effects &) {
+  const std::string Name = crashRecordName(Event.Record);
+  const auto [At, First] = this->Records.try_emplace(Name);
+  if (First)
+    At->second.Since = Now;
+  // The store may still show an older state of an own record.
+  if (First || Event.Record.Node != this->Self ||
+      Event.Record.Requests > At->second.Record.Requests)
+    At->second.Record = Event.Record;
+}
+
+void CrashRecords::on(const CrashRecordRemoved &Event, TimePoint, Effects &) {
+  this->Records.erase(Event.Name);
+}
+
+void CrashRecords::on(const RequestCrashed &Event, TimePoint Now,
+                      Effects &Out) {
+  CrashRecord Own;
+  Own.Print = Event.Print;
+  Own.Node = this->Self;
+  const std::string Name = crashRecordName(Own);
+  const auto Found = this->Records.find(Name);
+  const bool Create = Found == this->Records.end();
+  if (Create) {
+    const auto Count = std::count_if(
+        this->Records.begin(), this->Records.end(), [this](const auto &Each) {
+          return Each.second.Record.Node == this->Self;
+        });
+    if (static_cast<std::size_t>(Count) >= MaxOwn)
+      return;
+    this->Records[Name] = {Own, Now};
+  }
+  CrashRecord &Record = this->Records[Name].Record;
+  ++Record.Requests;
+  Record.Targets.insert(Event.Targets.begin(), Event.Targets.end());
+  Out.push_back(WriteCrashRecord{Record, Create});
+}
+
+void CrashRecords::on(const RequestCameThrough &Event, TimePoint,
+                      Effects &Out) {
+  std::erase_if(this->Records, [&](const auto &Each) {
+    if (Each.second.Record.Print != Event.Print)
+      return false;
+    Out.push_back(RemoveCrashRecord{Each.first});
+    return true;
+  });
+}
+
+void CrashRecords::on(const CrashTimePassed &Event, TimePoint Now,
+                      Effects &Out) {
+  const std::map<Fingerprint, CrashStanding> Standings = this->standings();
+  std::erase_if(this->Records, [&](const auto &Each) {
+    const CrashRecord &Record = Each.second.Record;
+    Duration Kept = Standings.at(Record.Print) == CrashStanding::Refused
+                        ? RefuseTime
+                        : SuspectTime;
+    if (Record.Node != this->Self)
+      Kept += RankDelay * (Event.Rank + 1);
+    if (Now - Each.second.Since < Kept)
+      return false;
+    Out.push_back(RemoveCrashRecord{Each.first});
+    return true;
+  });
+}
+
+} // namespace balsamyard
--- a/balsamyard/src/Process/Discovery.cpp
+++ b/balsamyard/src/Process/Discovery.cpp
@@ -57,6 +57,8 @@
     return "nodes";
   case ObjectKind::MoveCounts:
     return "move-counts";
+  case ObjectKind::Crashes:
+    return "crashes";
   }
   return "unknown";
 }
@@ -299,6 +301,7 @@
   if (!this->Config)
     return View;
   View->Config = this->Config;
+  View->Crashes = this->Crashes;
   std::map<ServiceName, std::vector<Ref<KnownTarget>>> ByService;
   for (const auto &[Id, Known] : this->Targets)
     if (Known.State->standing() == Standing::Serving)
--- a/balsamyard/src/Process/Discovery.h
+++ b/balsamyard/src/Process/Discovery.h
@@ -48,6 +48,13 @@
   /// does if \p Move is null.
   void setMove(const ServiceName &Service, Ref<MoveTraffic> Move);
 
+  /// \brief Requests during which targets crashed; never null.
+  void setCrashes(Ref<const CrashList> Next) {
+    this->Crashes = std::move(Next);
+    this->Changed = true;
+  }
+  const Ref<const CrashList> &crashes() const { return this->Crashes; }
+
   /// \returns whether a target of that version may get requests.
   bool serves(const ServiceName &Service, const VersionName &Version) const;
 
@@ -98,6 +105,7 @@
   std::map<ServiceName, Ref<RetryBudget>> Budgets;
   std::map<RouteName, Ref<RouteStats>> Stats;
   std::map<ServiceName, Ref<MoveTraffic>> Moves;
+  Ref<const CrashList> Crashes = makeRef<const CrashList>();
   std::uint32_t Nodes;
   bool NodesCounted = false;
   std::uint32_t Rank = 0; ///< Of this node among all, by name.
--- a/balsamyard/src/Process/FleetAgent.cpp
+++ b/balsamyard/src/Process/FleetAgent.cpp
@@ -16,9 +16,13 @@
             std::make_unique<Feed>(Context, ObjectKind::Evacuations,
                                    Duration::zero(), Settings.Store),
             std::make_unique<Feed>(Context, ObjectKind::Moves, Duration::zero(),
-                                   Settings.Store)},
+                                   Settings.Store),
+            std::make_unique<Feed>(Context, ObjectKind::Crashes,
+                                   CrashEventPause, Settings.Store)},
       Moves(Context, Settings, Adapter, this->Known,
             [this] { this->scheduleWork(); }),
+      Crashes(Context, Settings, Adapter, this->Known,
+              [this] { this->scheduleWork(); }),
       NodeChannel(Context, Settings.Store), NodeTimer(Context),
       WorkTimer(Context) {}
 
@@ -33,6 +37,7 @@
     Each->Channel.setStore(Next.Store);
   this->NodeChannel.setStore(Next.Store);
   this->Moves.reload(Next);
+  this->Crashes.reload(Next);
   this->Known.setBounds(Next.Bounds);
   this->scheduleWork();
 }
@@ -104,6 +109,15 @@
     this->Moves.keepOnly(Ordered);
     return;
   }
+  case ObjectKind::Crashes: {
+    std::set<std::string> Listed;
+    for (const StoredObject &Object : Output.Objects) {
+      Listed.insert(Object.Name);
+      this->Crashes.see(Object);
+    }
+    this->Crashes.keepOnly(Listed);
+    return;
+  }
   case ObjectKind::Nodes:
   case ObjectKind::MoveCounts:
     return;
@@ -140,6 +154,12 @@
     else
       this->applyMove(Change.Object);
     return;
+  case ObjectKind::Crashes:
+    if (Change.Removed)
+      this->Crashes.drop(Name);
+    else
+      this->Crashes.see(Change.Object);
+    return;
   case ObjectKind::Nodes:
   case ObjectKind::MoveCounts:
     return;
--- a/balsamyard/src/Process/FleetAgent.h
+++ b/balsamyard/src/Process/FleetAgent.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "balsamyard/src/Connection/StoreChannel.h"
+#include "balsamyard/src/Process/CrashAgent.h"
 #include "balsamyard/src/Process/Discovery.h"
 #include "balsamyard/src/Process/MoveAgent.h"
 #include "balsamyard/src/Process/ObjectFeed.h"
@@ -27,6 +28,10 @@
   /// serves for seconds after it says so.
   static constexpr Duration TargetEventPause = std::chrono::milliseconds(300);
 
+  /// Records of crashes may wait: a request that crashes targets has to be
+  /// known everywhere within a few seconds.
+  static constexpr Duration CrashEventPause = std::chrono::seconds(1);
+
   /// Changes that arrive together are published once.
   static constexpr Duration PublishDelay = std::chrono::milliseconds(5);
 
@@ -46,6 +51,9 @@
   /// \brief The settings were read again.
   void reload(const NodeSettings &Settings);
 
+  /// \brief A request told what became of it. \sa CrashAgent
+  void report(const RequestCrashEvent &Event) { this->Crashes.report(Event); }
+
   /// \returns whether requests can be served. Thread-safe.
   bool isReady() const { return this->Ready.load(std::memory_order_relaxed); }
 
@@ -86,8 +94,9 @@
   RcuCell<FleetView> &View;
   const std::function<void()> OnPublished;
   Discovery Known;
-  std::array<std::unique_ptr<Feed>, 4> Feeds;
+  std::array<std::unique_ptr<Feed>, 5> Feeds;
   MoveAgent Moves;
+  CrashAgent Crashes;
   StoreChannel NodeChannel;
   asio::steady_timer NodeTimer;
   asio::steady_timer WorkTimer;
--- a/balsamyard/src/Process/MoveAgent.cpp
+++ b/balsamyard/src/Process/MoveAgent.cpp
@@ -12,10 +12,6 @@
 
 MoveClock clockNow() { return {steadyNow(), wallNow()}; }
 
-bool succeeded(const Expected<HttpResponse> &Result) {
-  return Result && Result->Status / 100 == 2;
-}
-
 std::uint64_t badAnswers(const MoveTally &Tally) {
   std::uint64_t Sum = 0;
   for (const RouteTally &Each : Tally)
@@ -36,11 +32,11 @@
                      std::function<void()> OnChanged)
     : Self(Settings.Node), Exposure(Settings.Bounds.BadVersionShare),
       Adapter(Adapter), Known(Known), OnChanged(std::move(OnChanged)),
-      Incarnation(std::random_device()()), Channel(Context, Settings.Store),
+      Incarnation(std::random_device()()), Calls(Context, Settings.Store),
       Timer(Context) {}
 
 void MoveAgent::reload(const NodeSettings &Next) {
-  this->Channel.setStore(Next.Store);
+  this->Calls.setStore(Next.Store);
   this->Exposure = Next.Bounds.BadVersionShare;
 }
 
@@ -168,18 +164,18 @@
             {"status", static_cast<std::int64_t>(Effect.Report.Status)},
             {"step", std::string(name(Effect.Report.Step))},
             {"reason", Effect.Report.Reason}});
-  this->call(this->Adapter.MoveReportCall(Service, Effect.Report, Effect.Base),
-             [this, Service](const Expected<HttpResponse> &Result) {
-               if (succeeded(Result))
-                 return;
-               logEvent(LogLevel::Warning, "move-report-not-written",
-                        {{"service", Service.Text},
-                         {"detail", Result ? std::to_string(Result->Status)
-                                           : Result.error().Detail}});
-               const auto Found = this->Moves.find(Service);
-               if (Found != this->Moves.end())
-                 this->apply(Service, Found->second, MoveWriteFailed{});
-             });
+  this->Calls.call(
+      this->Adapter.MoveReportCall(Service, Effect.Report, Effect.Base),
+      [this, Service](const Expected<HttpResponse> &Result) {
+        if (isDone(Result))
+          return;
+        logEvent(
+            LogLevel::Warning, "move-report-not-written",
+            {{"service", Service.Text}, {"detail", describeResult(Result)}});
+        const auto Found = this->Moves.find(Service);
+        if (Found != this->Moves.end())
+          this->apply(Service, Found->second, MoveWriteFailed{});
+      });
 }
 
 std::string MoveAgent::countsName(const ServiceName &Service) const {
@@ -202,7 +198,7 @@
                     Moving.Decisions.order().To,
                     {this->Self, this->Incarnation, Tally}});
   const std::string Name = this->countsName(Service);
-  this->call(
+  this->Calls.call(
       Moving.Announced
           ? this->Adapter.ReplaceCall(ObjectKind::MoveCounts, Name, Content)
           : this->Adapter.CreateCall(ObjectKind::MoveCounts, Name, Content),
@@ -211,26 +207,25 @@
         if (Found == this->Moves.end())
           return;
         const bool Exists =
-            succeeded(Result) ||
+            isDone(Result) ||
             (Result && Result->Status == StoreChannel::ConflictStatus);
         Found->second.Announced =
             Exists ||
             (Found->second.Announced &&
              !(Result && Result->Status == StoreChannel::NotFoundStatus));
-        if (succeeded(Result))
+        if (isDone(Result))
           return;
         // They are told again at the next tick.
         Found->second.Told = {};
-        logEvent(LogLevel::Warning, "move-counts-not-told",
-                 {{"service", Service.Text},
-                  {"detail", Result ? std::to_string(Result->Status)
-                                    : Result.error().Detail}});
+        logEvent(
+            LogLevel::Warning, "move-counts-not-told",
+            {{"service", Service.Text}, {"detail", describeResult(Result)}});
       });
 }
 
 void MoveAgent::readCounts(const ServiceName &Service,
                            const std::string &After) {
-  this->call(
+  this->Calls.call(
       this->Adapter.ListCall(ObjectKind::MoveCounts, After),
       [this, Service](const Expected<HttpResponse> &Result) {
         const FeedInput Read = Result
@@ -266,30 +261,13 @@
 void MoveAgent::removeCounts(const ServiceName &Service, Entry &Moving) {
   if (!std::exchange(Moving.Announced, false))
     return;
-  this->call(this->Adapter.RemoveCall(ObjectKind::MoveCounts,
-                                      this->countsName(Service)),
-             [Service](const Expected<HttpResponse> &Result) {
-               if (!succeeded(Result))
-                 logEvent(LogLevel::Warning, "move-counts-not-removed",
-                          {{"service", Service.Text}});
-             });
-}
-
-void MoveAgent::call(std::string Message, StoreChannel::Handler Done) {
-  this->Calls.push_back({std::move(Message), std::move(Done)});
-  if (this->Calls.size() == 1)
-    this->nextCall();
-}
-
-void MoveAgent::nextCall() {
-  this->Channel.call(this->Calls.front().Message, StoreChannel::CallTimeout,
-                     [this](Expected<HttpResponse> Result) {
-                       const StoreCall Ended = std::move(this->Calls.front());
-                       this->Calls.pop_front();
-                       if (!this->Calls.empty())
-                         this->nextCall();
-                       Ended.Done(std::move(Result));
-                     });
+  this->Calls.call(this->Adapter.RemoveCall(ObjectKind::MoveCounts,
+                                            this->countsName(Service)),
+                   [Service](const Expected<HttpResponse> &Result) {
+                     if (!isDone(Result))
+                       logEvent(LogLevel::Warning, "move-counts-not-removed",
+                                {{"service", Service.Text}});
+                   });
 }
 
 } // namespace balsamyard
--- a/balsamyard/src/Process/MoveAgent.h
+++ b/balsamyard/src/Process/MoveAgent.h
@@ -1,14 +1,14 @@
 #pragma once
 
-#include "balsamyard/src/Connection/StoreChannel.h"
+#include "balsamyard/src/Connection/StoreCalls.h"
 #include "balsamyard/src/Process/Discovery.h"
 #include "balsamyard/src/Process/PlatformAdapter.h"
 #include "balsamyard/src/Version/ServiceMove.h"
 
 #include <asio/steady_timer.hpp>
-#include <deque>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 
 namespace balsamyard {
@@ -67,11 +67,6 @@
     bool Announced = false; ///< The counts of this node are in the store.
     bool Removed = false;   ///< The order is gone.
   };
-  struct StoreCall {
-    std::string Message;
-    StoreChannel::Handler Done;
-  };
-
   void tick();
   void advance(const ServiceName &Service, Entry &Moving);
   void apply(const ServiceName &Service, Entry &Moving,
@@ -83,8 +78,6 @@
   void removeCounts(const ServiceName &Service, Entry &Moving);
   void write(const ServiceName &Service, const WriteMoveReport &Effect);
   std::string countsName(const ServiceName &Service) const;
-  void call(std::string Message, StoreChannel::Handler Done);
-  void nextCall();
 
   const NodeName Self;
   double Exposure;
@@ -92,10 +85,9 @@
   Discovery &Known;
   const std::function<void()> OnChanged;
   const std::uint64_t Incarnation;
-  StoreChannel Channel;
+  StoreCalls Calls;
   asio::steady_timer Timer;
   std::map<ServiceName, Entry> Moves;
-  std::deque<StoreCall> Calls; ///< The first one is running.
   bool Ticking = false;
 };
 
--- a/balsamyard/src/Process/Node.cpp
+++ b/balsamyard/src/Process/Node.cpp
@@ -43,13 +43,19 @@
 PathThread::PathThread(const TargetProtocol &Protocol,
                        const RcuCell<FleetView> &View,
                        std::atomic<std::uint32_t> &InFlight, std::uint64_t Seed,
-                       std::size_t Number, std::size_t Threads)
+                       std::size_t Number, std::size_t Threads,
+                       std::function<void(RequestCrashEvent)> OnCrashEvent)
     : Io(1), Work(asio::make_work_guard(this->Io)), View(View),
       Channels(this->Io, Protocol, Threads),
-      Context{this->Io,       this->Channels,
-              Protocol,       View,
-              this->Counters, InFlight,
-              Seed,           "thread=\"" + std::to_string(Number) + "\""},
+      Context{this->Io,
+              this->Channels,
+              Protocol,
+              View,
+              this->Counters,
+              InFlight,
+              Seed,
+              "thread=\"" + std::to_string(Number) + "\"",
+              std::move(OnCrashEvent)},
       Callers(
           this->Io,
           ServerHooks{
@@ -143,7 +149,11 @@
     this->Paths.push_back(std::make_unique<PathThread>(
         this->Protocol, this->View, this->InFlight,
         (std::uint64_t(Entropy()) << 32) + Entropy(), Count,
-        this->Settings.Cores));
+        this->Settings.Cores, [this](RequestCrashEvent Event) {
+          asio::post(this->Control, [this, Event = std::move(Event)] {
+            this->Agent.report(Event);
+          });
+        }));
     // All threads listen on the port that the first one got.
     if (Count > 0)
       this->Settings.Callers.Port = this->Paths.front()->port();
--- a/balsamyard/src/Process/Node.h
+++ b/balsamyard/src/Process/Node.h
@@ -36,7 +36,8 @@
 public:
   PathThread(const TargetProtocol &Protocol, const RcuCell<FleetView> &View,
              std::atomic<std::uint32_t> &InFlight, std::uint64_t Seed,
-             std::size_t Number, std::size_t Threads);
+             std::size_t Number, std::size_t Threads,
+             std::function<void(RequestCrashEvent)> OnCrashEvent);
 
   /// \brief Listens for callers; throws std::system_error if it cannot.
   void listen(const asio::ip::tcp::endpoint &At);
--- a/balsamyard/src/Process/PlatformAdapter.h
+++ b/balsamyard/src/Process/PlatformAdapter.h
@@ -20,6 +20,7 @@
   Moves,       ///< Orders to move a service to another version.
   Nodes,       ///< One object for each node of the system.
   MoveCounts,  ///< What a node has counted of a move.
+  Crashes,     ///< Requests during which targets crashed.
 };
 
 /// \returns the name of a kind in logs.
--- a/balsamyard/src/Request/Fingerprint.cpp
+++ b/balsamyard/src/Request/Fingerprint.cpp
@@ -1,16 +1,30 @@
 #include "balsamyard/src/Request/Fingerprint.h"
 
+#include <initializer_list>
 #include <xxhash.h>
 
 namespace balsamyard {
 
+namespace {
+
+/// Each part seeds the next, so that "ab" + "c" and "a" + "bc" differ.
+Fingerprint hashInTurn(std::initializer_list<std::string_view> Parts) {
+  XXH64_hash_t Hash = 0;
+  for (const std::string_view Part : Parts)
+    Hash = XXH3_64bits_withSeed(Part.data(), Part.size(), Hash);
+  return Fingerprint{Hash};
+}
+
+} // namespace
+
 Fingerprint fingerprintOf(const ServiceName &Service, const RouteName &Route,
                           std::string_view CanonicalBody) {
-  // Each part seeds the next, so that "ab" + "c" and "a" + "bc" differ.
-  XXH64_hash_t Hash = XXH3_64bits(Service.Text.data(), Service.Text.size());
-  Hash = XXH3_64bits_withSeed(Route.Text.data(), Route.Text.size(), Hash);
-  Hash = XXH3_64bits_withSeed(CanonicalBody.data(), CanonicalBody.size(), Hash);
-  return Fingerprint{Hash};
+  return hashInTurn({Service.Text, Route.Text, CanonicalBody});
+}
+
+Fingerprint fingerprintOf(std::string_view Method, std::string_view Host,
+                          std::string_view Target, std::string_view Body) {
+  return hashInTurn({Method, Host, Target, Body});
 }
 
 } // namespace balsamyard
--- a/balsamyard/src/Request/Fingerprint.h
+++ b/balsamyard/src/Request/Fingerprint.h
@@ -13,4 +13,8 @@
 Fingerprint fingerprintOf(const ServiceName &Service, const RouteName &Route,
                           std::string_view CanonicalBody);
 
+/// \returns the xxHash3 of what a caller sends again when it repeats a request.
+Fingerprint fingerprintOf(std::string_view Method, std::string_view Host,
+                          std::string_view Target, std::string_view Body);
+
 } // namespace balsamyard
--- a/balsamyard/src/Request/RequestRun.cpp
+++ b/balsamyard/src/Request/RequestRun.cpp
@@ -3,6 +3,7 @@
 #include "balsamyard/src/Core/Log.h"
 #include "balsamyard/src/Core/Overload.h"
 #include "balsamyard/src/Process/Metrics.h"
+#include "balsamyard/src/Request/Fingerprint.h"
 
 #include <algorithm>
 
@@ -37,6 +38,16 @@
                 KeepOpen);
 }
 
+/// A caller that repeats a request which crashes targets gains nothing by
+/// coming back soon.
+constexpr Duration CrashRetryAfter = std::chrono::seconds(10);
+
+Fingerprint fingerprintOf(const HttpRequest &Request) {
+  const std::string *Host = Request.Fields.find("host");
+  return balsamyard::fingerprintOf(Request.Method, Host ? *Host : "",
+                                   Request.Target, Request.Body);
+}
+
 std::string_view pathOf(std::string_view Target) {
   return Target.substr(0, Target.find('?'));
 }
@@ -82,6 +93,12 @@
     reject(Context, Caller, {503, "too many requests", OverloadRetryAfter});
     return;
   }
+  if (!View->Crashes->Known.empty() &&
+      View->Crashes->find(fingerprintOf(Request)) == CrashStanding::Refused) {
+    reject(Context, Caller,
+           {503, "the request crashes targets", CrashRetryAfter});
+    return;
+  }
   const Route &Matched = View->Config->Routes[static_cast<std::size_t>(At)];
   RouteStats &Stats = *View->Stats[static_cast<std::size_t>(At)];
   const Duration CallerWaits =
@@ -215,6 +232,7 @@
 void RequestRun::on(const ScatterFinished &) {
   const CallerAnswer Answer = this->Decisions.takeOutcome();
   this->log(Answer, steadyNow());
+  this->reportCrash(Answer);
   const bool KeepOpen = this->Caller->mayKeepOpen();
   std::string Message = this->Context.Protocol.answer(
       Answer, KeepOpen, this->Request.Method != "HEAD");
@@ -223,6 +241,25 @@
   Connection->answer(std::move(Message), KeepOpen);
 }
 
+void RequestRun::reportCrash(const CallerAnswer &Answer) const {
+  const bool Failed = std::holds_alternative<FailedAnswer>(Answer);
+  const std::vector<TargetId> Crashed =
+      Failed ? this->Decisions.crashedTargets() : std::vector<TargetId>{};
+  if (!Crashed.empty()) {
+    this->Context.OnCrashEvent(
+        RequestCrashed{fingerprintOf(this->Request), Crashed});
+    return;
+  }
+  // The newest view: the request may have become a suspect while it ran.
+  const Ref<const FleetView> View = this->Context.View.read();
+  if (Failed || View->Crashes->Known.empty() ||
+      std::holds_alternative<NotExecutedAnswer>(Answer))
+    return;
+  const Fingerprint Print = fingerprintOf(this->Request);
+  if (View->Crashes->find(Print))
+    this->Context.OnCrashEvent(RequestCameThrough{Print});
+}
+
 void RequestRun::log(const CallerAnswer &Answer, TimePoint Now) const {
   const ScatterCounts &Counts = this->Decisions.counts();
   const auto [Status, Detail] = std::visit(
--- a/balsamyard/src/Request/RequestRun.h
+++ b/balsamyard/src/Request/RequestRun.h
@@ -9,6 +9,7 @@
 
 #include <asio/steady_timer.hpp>
 #include <atomic>
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -27,6 +28,9 @@
   std::atomic<std::uint32_t> &InFlight; ///< Of the process.
   std::uint64_t NextSeed = 0;
   std::string ThreadLabel; ///< Of this thread's metrics.
+
+  /// May be called from any thread.
+  std::function<void(RequestCrashEvent)> OnCrashEvent;
 };
 
 /// \brief Requests that the process handles at once. Each holds its body and
@@ -61,6 +65,7 @@
   void on(const ScatterFinished &Effect);
   void onEnd(AttemptIndex Attempt, Expected<HttpResponse> Result, bool Sent);
   void release();
+  void reportCrash(const CallerAnswer &Answer) const;
   void log(const CallerAnswer &Answer, TimePoint Now) const;
 
   RequestContext &Context;
--- a/balsamyard/src/Request/Scatter.cpp
+++ b/balsamyard/src/Request/Scatter.cpp
@@ -216,6 +216,14 @@
   return Result;
 }
 
+std::vector<TargetId> Scatter::crashedTargets() const {
+  std::vector<TargetId> Result;
+  for (const Attempt &Each : this->Attempts)
+    if (Each.Crashed)
+      Result.push_back(Each.Target->Info.Id);
+  return Result;
+}
+
 void Scatter::closeAttempt(Attempt &Closed, Fate Result, TimePoint Now) {
   Closed.Result = Result;
   Closed.Took = Now - Closed.At;
@@ -305,6 +313,8 @@
   Attempt &Ended = this->Attempts[Event.Attempt];
   if (Ended.Current == State::Ended)
     return;
+  Ended.Crashed = Event.Failure == AttemptFailure::Broken &&
+                  Ended.Target->reach() != Reach::Up;
   this->closeAttempt(Ended,
                      Event.Failure == AttemptFailure::NotSent ? Fate::NotSent
                                                               : Fate::Broken,
--- a/balsamyard/src/Request/Scatter.h
+++ b/balsamyard/src/Request/Scatter.h
@@ -122,6 +122,10 @@
   /// MaxDescribed of them.
   std::string describe(TimePoint Now) const;
 
+  /// \returns the targets that lost all their connections while they ran the
+  /// request.
+  std::vector<TargetId> crashedTargets() const;
+
   const ScatterCounts &counts() const { return this->Counts; }
   const ScatterInput &input() const { return this->Input; }
   const Route &route() const {
@@ -160,6 +164,7 @@
     bool Extra = false; ///< Its arrival counts against the budget.
     bool Hedge = false;
     bool Late = false;
+    bool Crashed = false; ///< The target lost all its connections with it.
     Fate Result = Fate::Open;
     Duration Took{};
     TimePoint At{}; ///< Since it was submitted or, later, sent.
--- /dev/null
+++ b/balsamyard/src/Version/CrashList.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "balsamyard/src/Core/Names.h"
+#include "balsamyard/src/Core/RefCounted.h"
+
+#include <cstdint>
+#include <optional>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+namespace balsamyard {
+
+/// \brief What is known of a request during which targets crashed.
+enum class CrashStanding : std::uint8_t {
+  Suspected, ///< Its success would clear it.
+  Refused,   ///< It crashes the targets that run it.
+};
+
+/// \brief Requests during which targets crashed, as requests read it.
+/// Immutable.
+struct CrashList : RefCounted<CrashList> {
+  std::unordered_map<Fingerprint, CrashStanding> Known;
+
+  std::optional<CrashStanding> find(Fingerprint Print) const {
+    const auto Found = this->Known.find(Print);
+    return Found == this->Known.end() ? std::nullopt
+                                      : std::optional(Found->second);
+  }
+};
+
+/// \brief A request failed, and these targets lost all connections while they
+/// ran it.
+struct RequestCrashed {
+  Fingerprint Print{};
+  std::vector<TargetId> Targets;
+};
+
+/// \brief A suspected request succeeded.
+struct RequestCameThrough {
+  Fingerprint Print{};
+};
+
+using RequestCrashEvent = std::variant<RequestCrashed, RequestCameThrough>;
+
+} // namespace balsamyard
--- a/balsamyard/src/Version/FleetView.h
+++ b/balsamyard/src/Version/FleetView.h
@@ -3,6 +3,7 @@
 #include "balsamyard/src/Core/LatencyQuantile.h"
 #include "balsamyard/src/Core/RefCounted.h"
 #include "balsamyard/src/Version/Configuration.h"
+#include "balsamyard/src/Version/CrashList.h"
 #include "balsamyard/src/Version/KnownTarget.h"
 #include "balsamyard/src/Version/MoveTraffic.h"
 #include "balsamyard/src/Version/RetryBudget.h"
@@ -72,6 +73,7 @@
   std::vector<ServiceEntry> Services; ///< By ServiceNumber.
   std::vector<Ref<RouteStats>> Stats; ///< By position of the route.
   FleetShares Shares;
+  Ref<const CrashList> Crashes = makeRef<const CrashList>();
 
   /// \returns the connections of one of \p Threads threads to a target of a
   /// service, when the process has run for \p Age.
--- /dev/null
+++ b/tests/path/CrashRecordsTest.cpp
@@ -0,0 +1,145 @@
+#include "balsamyard/src/Process/CrashRecords.h"
+#include "tests/path/PathWorld.h"
+
+#include <catch2/catch.hpp>
+
+using namespace balsamyard;
+using namespace balsamyard::test;
+
+namespace {
+
+constexpr Fingerprint Print{42};
+
+/// \brief Nodes that see each other's records at once, on virtual time.
+struct CrashWorld {
+  std::vector<CrashRecords> Nodes;
+  std::set<std::string> Stored;
+  TimePoint Now{Second * 1000};
+
+  explicit CrashWorld(std::size_t Count) {
+    for (std::size_t At = 0; At < Count; ++At)
+      this->Nodes.emplace_back(NodeName{"node-" + std::to_string(At)});
+  }
+
+  void tell(std::size_t Node, const CrashRecordEvent &Event) {
+    for (const CrashRecordEffect &Effect :
+         this->Nodes[Node].handle(Event, this->Now))
+      std::visit([this](const auto &What) { this->perform(What); }, Effect);
+  }
+
+  void perform(const WriteCrashRecord &Effect) {
+    this->Stored.insert(crashRecordName(Effect.Record));
+    for (CrashRecords &Each : this->Nodes)
+      Each.handle(CrashRecordSeen{Effect.Record}, this->Now);
+  }
+
+  void perform(const RemoveCrashRecord &Effect) {
+    this->Stored.erase(Effect.Name);
+    for (CrashRecords &Each : this->Nodes)
+      Each.handle(CrashRecordRemoved{Effect.Name}, this->Now);
+  }
+
+  void crash(std::size_t Node, std::initializer_list<const char *> Targets) {
+    RequestCrashed Event{Print, {}};
+    for (const char *Target : Targets)
+      Event.Targets.push_back(TargetId{Target});
+    this->tell(Node, Event);
+  }
+
+  std::optional<CrashStanding> standing(std::size_t Node) const {
+    return this->Nodes[Node].list()->find(Print);
+  }
+};
+
+} // namespace
+
+SCENARIO("requests that crash targets are found by all nodes", "[crash]") {
+  CrashWorld World(3);
+
+  GIVEN("one attempt of a caller that lost many targets at once") {
+    World.crash(0, {"a", "b", "c", "d"});
+    THEN(
+        "the request is only suspected: the targets may have failed together") {
+      for (std::size_t At = 0; At < 3; ++At)
+        CHECK(World.standing(At) == CrashStanding::Suspected);
+    }
+    WHEN("an attempt at another node loses targets as well") {
+      World.crash(1, {"e"});
+      THEN("every node refuses the request") {
+        for (std::size_t At = 0; At < 3; ++At)
+          CHECK(World.standing(At) == CrashStanding::Refused);
+      }
+      AND_WHEN("a long time has passed") {
+        World.Now += CrashRecords::RefuseTime;
+        World.tell(0, CrashTimePassed{0});
+        World.tell(1, CrashTimePassed{1});
+        THEN("it may run again, and the store is clean") {
+          CHECK(!World.standing(2));
+          CHECK(World.Stored.empty());
+        }
+      }
+    }
+    WHEN("an attempt succeeds at another node") {
+      World.tell(2, RequestCameThrough{Print});
+      THEN("it is cleared everywhere") {
+        for (std::size_t At = 0; At < 3; ++At)
+          CHECK(!World.standing(At));
+        CHECK(World.Stored.empty());
+      }
+    }
+    WHEN("it does not come again") {
+      World.Now += CrashRecords::SuspectTime;
+      World.tell(0, CrashTimePassed{0});
+      THEN("it is forgotten") { CHECK(!World.standing(1)); }
+    }
+    WHEN("its node is gone for good") {
+      World.Now += CrashRecords::SuspectTime + 2 * CrashRecords::RankDelay;
+      World.tell(1, CrashTimePassed{1});
+      THEN("another node removes the record") { CHECK(World.Stored.empty()); }
+    }
+  }
+
+  GIVEN("two attempts that lost the same two targets") {
+    World.crash(0, {"a", "b"});
+    World.crash(1, {"a", "b"});
+    THEN("two targets that crash on their own blame no request") {
+      CHECK(World.standing(2) == CrashStanding::Suspected);
+    }
+  }
+
+  GIVEN("a loss of all targets that breaks very many requests") {
+    for (std::uint64_t Each = 0; Each < 1000; ++Each)
+      World.tell(0, RequestCrashed{Fingerprint{Each}, {TargetId{"a"}}});
+    THEN("the records stay bounded") {
+      CHECK(World.Stored.size() == CrashRecords::MaxOwn);
+    }
+  }
+}
+
+SCENARIO("crash records pass through the store", "[crash]") {
+  CrashRecord Record;
+  Record.Print = Print;
+  Record.Node.Text = "node-1";
+  Record.Requests = 3;
+  Record.Targets = {TargetId{"a"}, TargetId{"b"}};
+  GIVEN("a record that was written") {
+    const Expected<CrashRecord> Read =
+        decodeCrashRecord(encodeCrashRecord(Record));
+    THEN("it is read as it was") {
+      REQUIRE(Read);
+      CHECK(Read->Print == Record.Print);
+      CHECK(Read->Node == Record.Node);
+      CHECK(Read->Requests == Record.Requests);
+      CHECK(Read->Targets == Record.Targets);
+    }
+  }
+  GIVEN("content of another writer") {
+    THEN("it is refused") {
+      CHECK(!decodeCrashRecord(nullptr));
+      CHECK(!decodeCrashRecord({{"print", -1}}));
+      nlohmann::json Other = encodeCrashRecord(Record);
+      Other["targets"][0] = 7;
+      CHECK(!decodeCrashRecord(Other));
+    }
+  }
+}
--- a/tests/path/NodeTest.cpp
+++ b/tests/path/NodeTest.cpp
@@ -1,4 +1,6 @@
 #include "balsamyard/src/Process/Node.h"
+#include "balsamyard/src/Process/CrashRecords.h"
+#include "balsamyard/src/Request/Fingerprint.h"
 #include "platform/Platform.h"
 #include "tests/path/FakeFleet.h"
 #include "tests/path/PathWorld.h"
@@ -343,3 +345,75 @@
     }
   }
 }
+
+SCENARIO("a node refuses requests that crash targets", "[node][crash]") {
+  PlatformWorld World;
+  World.addRoute("/fragile/", {{"service", "fragile"}});
+  World.addRoute("/sound/", {{"service", "sound"}});
+  std::vector<FakeTarget *> Fragile;
+  for (const char *Id : {"i-1", "i-2", "i-3", "i-4", "i-5"})
+    Fragile.push_back(&World.add("fragile", Id, "", Crashing{}));
+  World.add("sound", "i-6", "stored", Sound{});
+  World.start();
+  FakeCaller Caller = World.caller();
+
+  GIVEN("a request that crashes each target which runs it") {
+    HttpResponse Answer;
+    int Sent = 0;
+    do
+      Answer = Caller.ask(get("/fragile/x", "id-" + std::to_string(++Sent)));
+    while (Answer.Status == 502);
+    THEN("it is refused, as one that has not run, and reaches no target") {
+      CHECK(Answer.Status == 503);
+      CHECK(std::stod(field(Answer, "Retry-After")) > 1);
+      const auto Arrived = [&Fragile] {
+        std::size_t Sum = 0;
+        for (const FakeTarget *Each : Fragile)
+          Sum += Each->requests().size();
+        return Sum;
+      };
+      const std::size_t Former = Arrived();
+      for (int Count = 0; Count < 20; ++Count)
+        CHECK(Caller.ask(get("/fragile/x", "more-" + std::to_string(Count)))
+                  .Status == 503);
+      CHECK(Arrived() == Former);
+    }
+    THEN("the store tells the other nodes") {
+      while (World.Store.count("balsamyard-crashes") == 0)
+        ::usleep(2000);
+    }
+    THEN("another request to the same targets is not refused for it") {
+      CHECK(Caller.ask(get("/fragile/y")).Status == 502);
+    }
+  }
+
+  GIVEN("a request that crashed targets at another node") {
+    CrashRecord Record;
+    Record.Print = fingerprintOf("GET", "a.example", "/sound/x", "");
+    Record.Node.Text = "node-2";
+    Record.Requests = 2;
+    Record.Targets = {TargetId{"i-7"}, TargetId{"i-8"}, TargetId{"i-9"}};
+    World.Store.put("balsamyard-crashes", crashRecordName(Record),
+                    encodeCrashRecord(Record));
+    THEN("it is refused here as well") {
+      while (Caller.ask(get("/sound/x")).Status == 200)
+        ::usleep(2000);
+      CHECK(Caller.ask(get("/sound/x")).Status == 503);
+      CHECK(Caller.ask(get("/sound/y")).Status == 200);
+    }
+  }
+
+  GIVEN("a request that is only suspected") {
+    CrashRecord Record;
+    Record.Print = fingerprintOf("GET", "a.example", "/sound/x", "");
+    Record.Node.Text = "node-2";
+    Record.Requests = 1;
+    Record.Targets = {TargetId{"i-7"}, TargetId{"i-8"}};
+    World.Store.put("balsamyard-crashes", crashRecordName(Record),
+                    encodeCrashRecord(Record));
+    THEN("its success clears it for all nodes") {
+      while (World.Store.count("balsamyard-crashes") > 0)
+        REQUIRE(Caller.ask(get("/sound/x")).Status == 200);
+    }
+  }
+}
