Add a fault soak of real node processes; send nothing of a refused request

tests/soak runs node processes between callers, targets and a store of its own, behind loopback proxies that delay, hold up, swallow, reset and refuse, and stops, pauses, kills and restarts them in series that overlap.

The start of an attempt is taken back when the request ends in the same event. Test: "a request is refused when it starts".

--- a/balsamyard/src/Request/Scatter.cpp
+++ b/balsamyard/src/Request/Scatter.cpp
@@ -30,6 +30,15 @@
 /// Spreads consecutive requests evenly over the unit interval.
 constexpr double GoldenRatio = 0.6180339887498949;
 
+/// \returns whether the effect that starts an attempt was still in the list; it
+/// is removed.
+bool takeBackSubmit(AttemptIndex At, ScatterEffects &Effects) {
+  return std::erase_if(Effects, [At](const ScatterEffect &Each) {
+           const auto *Submit = std::get_if<SubmitAttempt>(&Each);
+           return Submit != nullptr && Submit->Attempt == At;
+         }) > 0;
+}
+
 } // namespace
 
 bool promisesNotExecuted(int Status) {
@@ -475,7 +484,10 @@
     Attempt &Each = this->Attempts[At];
     if (Each.Current == State::Queued) {
       this->closeAttempt(Each, Fate::Withdrawn, Now);
-      Effects.push_back(WithdrawAttempt{At});
+      // An attempt of this very event must not start: the answer may say that
+      // the request has not run.
+      if (!takeBackSubmit(At, Effects))
+        Effects.push_back(WithdrawAttempt{At});
     } else if (Each.Current == State::Sent) {
       Each.Took = Now - Each.At;
       this->countForMove(Each, Now);
--- a/tests/path/ScatterTest.cpp
+++ b/tests/path/ScatterTest.cpp
@@ -347,3 +347,24 @@
     CHECK(mergeRecords({"short"}, 10).empty());
   }
 }
+
+// Found by the soak (seed 1): the first shard's request was sent although the
+// answer "not run" was decided at the same moment.
+SCENARIO("a request is refused when it starts", "[scatter]") {
+  PathWorld World(shardedRoute());
+  auto &Plan = std::get<ShardedDestination>(World.Config->Routes[0].To);
+  for (const char *Name : {"one", "two", "three"})
+    Plan.Shards.push_back(World.addService(Name));
+  World.addTarget(Plan.Shards[0], "only");
+
+  GIVEN("targets for too few of its shards") {
+    RunningRequest Each(World);
+    Each.tell(ScatterStarted{});
+    THEN("nothing is sent, so that it has not run") {
+      CHECK(Each.all<SubmitAttempt>().empty());
+      CHECK(Each.all<WithdrawAttempt>().empty());
+      REQUIRE(Each.Decisions.finished());
+      CHECK(Each.outcome<NotExecutedAnswer>().RetryAfter > Duration::zero());
+    }
+  }
+}
--- /dev/null
+++ b/tests/soak/Ledger.cpp
@@ -0,0 +1,43 @@
+#include "tests/soak/Ledger.h"
+
+namespace balsamyard::soak {
+
+bool saysNotRun(int Status) {
+  return Status == 408 || Status == 421 || Status == 429 || Status == 503;
+}
+
+void Ledger::sent(const std::string &Id, RequestRecord Record) {
+  this->Requests[Id] = std::move(Record);
+}
+
+void Ledger::violation(const std::string &What) {
+  this->Violations.push_back(What);
+}
+
+void Ledger::ran(const std::string &Id, const std::string &Path,
+                 const std::string &Body) {
+  const auto Found = this->Requests.find(Id);
+  if (Found == this->Requests.end()) {
+    this->violation("a target ran a request that no caller sent: " + Id);
+    return;
+  }
+  RequestRecord &Record = Found->second;
+  if (Record.Path != Path || Record.Body != Body)
+    this->violation("a target got another path or body than was sent: " + Id);
+  ++Record.Runs;
+  if (!Record.MayRepeat && Record.Runs > 1)
+    this->violation("a request that may not be repeated ran twice: " + Id);
+  if (Record.Status && saysNotRun(*Record.Status))
+    this->violation("a request ran after it was refused as not run: " + Id);
+}
+
+void Ledger::answered(const std::string &Id, int Status) {
+  RequestRecord &Record = this->Requests.at(Id);
+  Record.Status = Status;
+  if (Status / 100 == 2)
+    ++this->Successes;
+  if (saysNotRun(Status) && Record.Runs > 0)
+    this->violation("a request was refused as not run, and had run: " + Id);
+}
+
+} // namespace balsamyard::soak
--- /dev/null
+++ b/tests/soak/NodeProcess.cpp
@@ -0,0 +1,92 @@
+#include "tests/soak/NodeProcess.h"
+
+#include <csignal>
+#include <fcntl.h>
+#include <fstream>
+#include <spawn.h>
+#include <stdexcept>
+#include <sys/wait.h>
+
+extern char **environ;
+
+namespace balsamyard::soak {
+
+NodeProcess::NodeProcess(NodePlace Place) : Place(std::move(Place)) {}
+
+NodeProcess::~NodeProcess() {
+  if (!this->isRunning())
+    return;
+  ::kill(this->Process, SIGKILL);
+  ::waitpid(this->Process, nullptr, 0);
+}
+
+void NodeProcess::writeSettings() const {
+  // Replaced at once, so that the process never reads half of it.
+  const std::string Path = this->Place.Folder + "/" + this->Place.Name;
+  std::ofstream File(Path + ".next");
+  File << "nodeName: \"" << this->Place.Name << "\"\n"
+       << "zone: \"z\"\nregion: \"r\"\nzones:\n  z: \"r\"\n"
+       << "listen:\n  front: \"" << this->Place.Address << ":" << CallerPort
+       << "\"\n  readinessAddr: \"" << this->Place.Address << ":"
+       << ReadinessPort << "\"\n"
+       << "limits:\n  cores: 2\n"
+       << "bounds:\n  drainMs: 3000\n  graceS: 6\n  retryBudgetRatio: 0.2\n"
+       << "  retryWindowS: 10\n  retryBudgetSlack: "
+       << 300 + this->SettingsVersion << "\n"
+       << "platform:\n  address: \"127.0.0.1:" << this->Place.Store.port()
+       << "\"\n";
+  File.close();
+  if (::rename((Path + ".next").c_str(), (Path + ".yaml").c_str()) != 0)
+    throw std::runtime_error("settings cannot be written: " + Path);
+}
+
+void NodeProcess::changeSettings() {
+  ++this->SettingsVersion;
+  this->writeSettings();
+}
+
+void NodeProcess::start() {
+  this->writeSettings();
+  this->StopSince.reset();
+  this->KilledAt.reset();
+  this->PausedTill.reset();
+  const std::string Base = this->Place.Folder + "/" + this->Place.Name;
+  posix_spawn_file_actions_t Files;
+  ::posix_spawn_file_actions_init(&Files);
+  ::posix_spawn_file_actions_addopen(&Files, STDOUT_FILENO,
+                                     (Base + ".log").c_str(),
+                                     O_WRONLY | O_CREAT | O_APPEND, 0644);
+  ::posix_spawn_file_actions_adddup2(&Files, STDOUT_FILENO, STDERR_FILENO);
+  std::string Program = this->Place.Program;
+  std::string Flag = "--settings";
+  std::string Path = Base + ".yaml";
+  char *Arguments[] = {Program.data(), Flag.data(), Path.data(), nullptr};
+  const int Problem = ::posix_spawn(&this->Process, Program.c_str(), &Files,
+                                    nullptr, Arguments, environ);
+  ::posix_spawn_file_actions_destroy(&Files);
+  if (Problem != 0)
+    throw std::runtime_error("cannot start " + Program);
+}
+
+void NodeProcess::signal(int Number) {
+  if (this->isRunning())
+    ::kill(this->Process, Number);
+}
+
+std::optional<int> NodeProcess::takeEnd() {
+  int Status = 0;
+  if (!this->isRunning() || ::waitpid(this->Process, &Status, WNOHANG) <= 0)
+    return std::nullopt;
+  this->Process = 0;
+  return Status;
+}
+
+asio::ip::tcp::endpoint NodeProcess::callers() const {
+  return {asio::ip::make_address(this->Place.Address), CallerPort};
+}
+
+asio::ip::tcp::endpoint NodeProcess::readiness() const {
+  return {asio::ip::make_address(this->Place.Address), ReadinessPort};
+}
+
+} // namespace balsamyard::soak
--- /dev/null
+++ b/tests/soak/SoakCaller.cpp
@@ -0,0 +1,114 @@
+#include "tests/soak/SoakCaller.h"
+
+#include <asio/write.hpp>
+
+namespace balsamyard::soak {
+
+SoakCaller::SoakCaller(asio::io_context &Io, Ledger &Seen, CallerHooks Hooks,
+                       std::string Name, unsigned Seed)
+    : Io(Io), Seen(Seen), Hooks(std::move(Hooks)), Name(std::move(Name)),
+      Random(Seed), Socket(Io), Timer(Io), Limit(Io) {}
+
+void SoakCaller::after(Duration Time, void (SoakCaller::*Next)()) {
+  this->Timer.expires_after(Time);
+  this->Timer.async_wait(
+      [Self = this->shared_from_this(), Next](const asio::error_code &Problem) {
+        if (!Problem)
+          (Self.get()->*Next)();
+      });
+}
+
+void SoakCaller::connect() {
+  if (this->Stopped)
+    return;
+  this->Unread.clear();
+  this->Current.Node = this->Hooks.ChooseNode();
+  this->Socket = asio::ip::tcp::socket(this->Io);
+  this->Socket.async_connect(
+      this->Hooks.AddressOf(this->Current.Node),
+      [Self = this->shared_from_this()](const asio::error_code &Problem) {
+        if (Problem)
+          Self->after(ReconnectPause, &SoakCaller::connect);
+        else
+          Self->send();
+      });
+}
+
+void SoakCaller::send() {
+  if (this->Stopped) {
+    this->Socket.close();
+    return;
+  }
+  this->Current.Id = this->Name + "-" + std::to_string(++this->Count);
+  this->Current.Request = this->Hooks.Choose();
+  this->Current.SentAt = steadyNow();
+  this->Current.Abandoned = false;
+  this->Current.Answer = {};
+  this->Running = true;
+  const CallerRequest &What = this->Current.Request;
+  this->Seen.sent(this->Current.Id,
+                  {What.Path, What.Body, What.MayRepeat, this->Current.Node,
+                   this->Current.SentAt, 0, std::nullopt});
+  auto Text = std::make_shared<std::string>(
+      What.Method + " " + What.Path +
+      " HTTP/1.1\r\nHost: soak.example\r\nX-Balsamyard-Attempt-Id: " +
+      this->Current.Id + "\r\nX-Balsamyard-Request-Deadline: 2000\r\n" +
+      "Content-Length: " + std::to_string(What.Body.size()) + "\r\n\r\n" +
+      What.Body);
+  this->Parser.begin(true);
+  const bool GivesUp = this->Random() % GiveUpEach == 0;
+  this->Limit.expires_after(GivesUp ? GiveUpAfter : Patience);
+  this->Limit.async_wait([Self = this->shared_from_this(),
+                          GivesUp](const asio::error_code &Cancelled) {
+    if (Cancelled || !Self->Running)
+      return;
+    Self->Current.Abandoned = GivesUp;
+    Self->end();
+  });
+  asio::async_write(this->Socket, asio::buffer(*Text),
+                    [Self = this->shared_from_this(),
+                     Text](const asio::error_code &, std::size_t) {
+                      // What went wrong shows when the answer is read.
+                      Self->read();
+                    });
+}
+
+void SoakCaller::read() {
+  this->Socket.async_read_some(
+      asio::buffer(this->Buffer),
+      [Self = this->shared_from_this()](const asio::error_code &Problem,
+                                        std::size_t Length) {
+        if (!Self->Running)
+          return;
+        Self->Unread.append(Self->Buffer.data(), Length);
+        const HttpStep Step = Self->Parser.read(Self->Unread);
+        Self->Unread.erase(0, Step.Consumed);
+        if (std::holds_alternative<HttpComplete>(Step.Progress)) {
+          Self->Current.Answer = Self->Parser.take();
+          Self->end();
+        } else if (Problem) {
+          Self->end();
+        } else {
+          Self->read();
+        }
+      });
+}
+
+void SoakCaller::end() {
+  this->Running = false;
+  this->Limit.cancel();
+  if (this->Current.Answer.Status != 0)
+    this->Seen.answered(this->Current.Id, this->Current.Answer.Status);
+  if (this->Current.Answer.Status != 0 && !this->Unread.empty())
+    this->Seen.violation("bytes after an answer: " + this->Current.Id);
+  this->Hooks.OnEnd(this->Current);
+  if (this->Current.Answer.Status != 0 && this->Current.Answer.KeepAlive) {
+    this->after(ThinkTime, &SoakCaller::send);
+    return;
+  }
+  asio::error_code Ignored; // The node may have closed it already.
+  this->Socket.close(Ignored);
+  this->after(ReconnectPause, &SoakCaller::connect);
+}
+
+} // namespace balsamyard::soak
