Close a running check of a target before another one starts

One thread checked it; another found it reachable; the first one lost a connection and started a second check over the running one, whose answer then found no check and dereferenced null. Only nodes with several cores have several threads on the path. Ruled out: a check that outlives its channel (retire() closes it).

Test: "a target is checked again while a check is running" ended with SIGSEGV before.

--- a/balsamyard/src/Connection/TargetChannel.cpp
+++ b/balsamyard/src/Connection/TargetChannel.cpp
@@ -237,6 +237,9 @@
 void TargetChannel::probe() {
   const TimePoint Now = steadyNow();
   this->ProbeDeadline = Now + this->Times.ProbeTimeout;
+  // A check that runs already may not show what broke the connections since.
+  if (this->ProbeLink)
+    this->ProbeLink->close();
   this->ProbeLink = makeRef<HttpLink>(this->Context, HttpLimits{});
   Ref<TargetChannel> Self(this);
   const Ref<HttpLink> Link = this->ProbeLink;
--- a/tests/path/TargetChannelTest.cpp
+++ b/tests/path/TargetChannelTest.cpp
@@ -130,3 +130,72 @@
     }
   }
 }
+
+// Found by the soak (seed 15): threads share what they know of a target. While
+// a thread still checked it, another one found it reachable; when the first one
+// lost a connection then, it started a second check over the running one, and
+// the answer to the first was taken for it. The process crashed.
+SCENARIO("a target is checked again while a check is running", "[channel]") {
+  std::vector<Ref<ServerConnection>> Checks;
+  const std::string Health =
+      "HTTP/1.1 200 OK\r\nX-Balsamyard-Instance-Id: i-1\r\n"
+      "Content-Length: 0\r\n\r\n";
+  std::atomic<int> Requests{0};
+  FakeServer Running([&](ServerConnection &Peer, const HttpRequest &Request) {
+    if (Request.Target != "/health") {
+      ++Requests;
+      Peer.close();
+      return;
+    }
+    // Both checks are answered when the second one is there.
+    Checks.emplace_back(&Peer);
+    if (Checks.size() == 2)
+      for (const Ref<ServerConnection> &Each : Checks)
+        Each->answer(Health, true);
+  });
+  const std::string Address = Running.address();
+  asio::io_context Io;
+  const TargetProtocol Protocol(platform::makeAdapter().Headers);
+  TargetInfo Info;
+  Info.Id.Text = "i-1";
+  Info.Address = {"127.0.0.1", static_cast<std::uint16_t>(std::stoi(
+                                   Address.substr(Address.find(':') + 1)))};
+  const auto Target = makeRef<KnownTarget>(Info);
+  const auto Channel = makeRef<TargetChannel>(Io, Target, Protocol);
+  Channel->configure({1, 0}, "/health");
+  const auto RunUntil = [&](const auto &Reached) {
+    const TimePoint GiveUp = steadyNow() + 5 * Second;
+    while (!Reached() && steadyNow() < GiveUp)
+      Io.run_one_for(std::chrono::milliseconds(5));
+  };
+
+  GIVEN("a running check of a suspect target") {
+    Target->setReach(Reach::Suspect);
+    Channel->tick(steadyNow());
+    WHEN("another thread finds it reachable, and a connection breaks here") {
+      Target->setReach(Reach::Up);
+      const Ref<LinkCall> Broken = call(*Target);
+      Broken->Stats = makeRef<RouteStats>(Second);
+      Broken->MakeMessage = [](TimePoint) {
+        return std::string("GET /x HTTP/1.1\r\nHost: a\r\n\r\n");
+      };
+      bool Ended = false;
+      Broken->OnEnd = [&](const Expected<HttpResponse> &Result, bool) {
+        Ended = true;
+        CHECK_FALSE(Result);
+      };
+      Channel->submit(Broken);
+      RunUntil([&] { return Ended; });
+      REQUIRE(Ended);
+      CHECK(Target->reach() == Reach::Suspect);
+      THEN("one check stays, and its answer counts") {
+        RunUntil([&] { return Target->reach() == Reach::Up; });
+        CHECK(Target->reach() == Reach::Up);
+        Channel->retire();
+        RunUntil([&] { return Channel->isIdle(); });
+      }
+    }
+  }
+  Running.stop();
+  Checks.clear();
+}
