Remove the store entries of nodes that are gone for good

Nodes renew their entry at each count, once a minute. An entry without a new heartbeat for five minutes, on the own clock of the reader, is removed by the first living node by name. The entry and the counting move from FleetAgent into NodeRegistry; NodeEntries decides.

--- a/balsamyard/src/Process/FleetAgent.cpp
+++ b/balsamyard/src/Process/FleetAgent.cpp
@@ -23,19 +23,20 @@
             [this] { this->scheduleWork(); }),
       Crashes(Context, Settings, Adapter, this->Known,
               [this] { this->scheduleWork(); }),
-      NodeChannel(Context, Settings.Store), NodeTimer(Context),
+      Registry(Context, Settings, Adapter, this->Known,
+               [this] { this->scheduleWork(); }),
       WorkTimer(Context) {}
 
 void FleetAgent::start() {
   for (const std::unique_ptr<Feed> &Each : this->Feeds)
     this->input(*Each, FeedStarted{});
-  this->registerNode();
+  this->Registry.start();
 }
 
 void FleetAgent::reload(const NodeSettings &Next) {
   for (const std::unique_ptr<Feed> &Each : this->Feeds)
     Each->Channel.setStore(Next.Store);
-  this->NodeChannel.setStore(Next.Store);
+  this->Registry.reload(Next);
   this->Moves.reload(Next);
   this->Crashes.reload(Next);
   this->Known.setBounds(Next.Bounds);
@@ -251,67 +252,4 @@
   this->scheduleWork();
 }
 
-void FleetAgent::registerNode() {
-  const nlohmann::json Content = {{"domain", this->Settings.Domain.Text}};
-  this->NodeChannel.call(
-      this->Adapter.CreateCall(ObjectKind::Nodes, this->Settings.Node.Text,
-                               Content),
-      StoreChannel::CallTimeout, [this](Expected<HttpResponse> Result) {
-        // A former process of this node has registered it, so the others are
-        // not just starting.
-        const bool Known =
-            Result && Result->Status == StoreChannel::ConflictStatus;
-        if (Known || (Result && Result->Status / 100 == 2)) {
-          this->Settled = Known;
-          this->scheduleCount(Known ? Duration::zero() : FirstCountDelay);
-          return;
-        }
-        logEvent(LogLevel::Warning, "node-not-registered",
-                 {{"detail", Result ? std::to_string(Result->Status)
-                                    : Result.error().Detail}});
-        this->NodeTimer.expires_after(ObjectFeed::MaxPause);
-        this->NodeTimer.async_wait([this](const asio::error_code &Cancelled) {
-          if (!Cancelled)
-            this->registerNode();
-        });
-      });
-}
-
-void FleetAgent::countNodes(const std::string &After) {
-  if (After.empty())
-    this->NodesListed.clear();
-  this->NodeChannel.call(
-      this->Adapter.StaleListCall(ObjectKind::Nodes, After),
-      StoreChannel::CallTimeout, [this](Expected<HttpResponse> Result) {
-        Duration Next = ObjectFeed::MaxPause;
-        const FeedInput Read = Result
-                                   ? this->Adapter.ReadPage(*Result)
-                                   : FeedInput(FeedCallFailed{Result.error()});
-        if (const auto *Page = std::get_if<FeedPage>(&Read)) {
-          for (const StoredObject &Object : Page->Objects)
-            this->NodesListed.insert(NodeName{Object.Name});
-          if (Page->HasMore && !Page->Objects.empty()) {
-            this->countNodes(Page->Objects.back().Name);
-            return;
-          }
-          this->Known.setNodes(this->NodesListed);
-          this->scheduleWork();
-          Next = this->Settled ? RecountInterval : FirstRecount;
-          this->Settled = true;
-        } else if (const auto *Failed = std::get_if<FeedCallFailed>(&Read)) {
-          logEvent(LogLevel::Warning, "nodes-not-counted",
-                   {{"detail", Failed->Why.Detail}});
-        }
-        this->scheduleCount(Next);
-      });
-}
-
-void FleetAgent::scheduleCount(Duration After) {
-  this->NodeTimer.expires_after(After);
-  this->NodeTimer.async_wait([this](const asio::error_code &Cancelled) {
-    if (!Cancelled)
-      this->countNodes({});
-  });
-}
-
 } // namespace balsamyard
--- a/balsamyard/src/Process/FleetAgent.h
+++ b/balsamyard/src/Process/FleetAgent.h
@@ -4,6 +4,7 @@
 #include "balsamyard/src/Process/CrashAgent.h"
 #include "balsamyard/src/Process/Discovery.h"
 #include "balsamyard/src/Process/MoveAgent.h"
+#include "balsamyard/src/Process/NodeRegistry.h"
 #include "balsamyard/src/Process/ObjectFeed.h"
 #include "balsamyard/src/Process/PlatformAdapter.h"
 #include "balsamyard/src/Version/RcuCell.h"
@@ -35,13 +36,6 @@
   /// Changes that arrive together are published once.
   static constexpr Duration PublishDelay = std::chrono::milliseconds(5);
 
-  /// Nodes that start together register within a second or two. The count is
-  /// a cheap read that may be seconds old; later ones follow changes of the
-  /// fleet.
-  static constexpr Duration FirstCountDelay = std::chrono::seconds(4);
-  static constexpr Duration FirstRecount = std::chrono::seconds(4);
-  static constexpr Duration RecountInterval = std::chrono::seconds(60);
-
   FleetAgent(asio::io_context &Context, const NodeSettings &Settings,
              const PlatformAdapter &Adapter, RcuCell<FleetView> &View,
              std::function<void()> OnPublished);
@@ -85,9 +79,6 @@
   void applyMove(const StoredObject &Object);
   void scheduleWork();
   void work();
-  void registerNode();
-  void countNodes(const std::string &After);
-  void scheduleCount(Duration After);
 
   const NodeSettings Settings;
   const PlatformAdapter &Adapter;
@@ -97,12 +88,9 @@
   std::array<std::unique_ptr<Feed>, 5> Feeds;
   MoveAgent Moves;
   CrashAgent Crashes;
-  StoreChannel NodeChannel;
-  asio::steady_timer NodeTimer;
+  NodeRegistry Registry;
   asio::steady_timer WorkTimer;
   TimePoint WorkAt = TimePoint::max();
-  std::set<NodeName> NodesListed;
-  bool Settled = false; ///< The nodes that start together are counted.
   /// A node that does not know the orders yet might send requests to targets
   /// that must get none.
   std::set<ObjectKind> Listed;
--- /dev/null
+++ b/balsamyard/src/Process/NodeEntries.cpp
@@ -0,0 +1,36 @@
+#include "balsamyard/src/Process/NodeEntries.h"
+
+namespace balsamyard {
+
+void NodeEntries::listed(const std::map<NodeName, std::uint64_t> &Heartbeats,
+                         TimePoint Now) {
+  std::erase_if(this->Entries, [&](const auto &Each) {
+    return !Heartbeats.contains(Each.first);
+  });
+  for (const auto &[Node, Heartbeat] : Heartbeats) {
+    const auto [At, First] = this->Entries.try_emplace(Node);
+    if (First || At->second.Heartbeat != Heartbeat)
+      At->second = {Heartbeat, Now};
+  }
+}
+
+std::set<NodeName> NodeEntries::nodes() const {
+  std::set<NodeName> Result;
+  for (const auto &[Node, Each] : this->Entries)
+    Result.insert(Node);
+  return Result;
+}
+
+std::set<NodeName> NodeEntries::expired(TimePoint Now) const {
+  std::set<NodeName> Result;
+  std::optional<NodeName> FirstLiving;
+  for (const auto &[Node, Each] : this->Entries) {
+    if (Now - Each.ChangedAt >= Lifetime && Node != this->Self)
+      Result.insert(Node);
+    else if (!FirstLiving)
+      FirstLiving = Node;
+  }
+  return FirstLiving == this->Self ? Result : std::set<NodeName>{};
+}
+
+} // namespace balsamyard
--- /dev/null
+++ b/balsamyard/src/Process/NodeRegistry.cpp
@@ -0,0 +1,126 @@
+#include "balsamyard/src/Process/NodeRegistry.h"
+
+#include "balsamyard/src/Core/Log.h"
+
+#include <random>
+
+namespace balsamyard {
+
+NodeRegistry::NodeRegistry(asio::io_context &Context,
+                           const NodeSettings &Settings,
+                           const PlatformAdapter &Adapter, Discovery &Known,
+                           std::function<void()> OnChanged)
+    : Self(Settings.Node), Domain(Settings.Domain), Adapter(Adapter),
+      Known(Known), OnChanged(std::move(OnChanged)), Entries(Settings.Node),
+      Calls(Context, Settings.Store), Timer(Context),
+      // A process that starts again must not repeat a heartbeat of the former
+      // one.
+      Heartbeat(std::uint64_t(std::random_device()()) << 20) {}
+
+void NodeRegistry::reload(const NodeSettings &Next) {
+  this->Calls.setStore(Next.Store);
+}
+
+nlohmann::json NodeRegistry::content() const {
+  return {{"domain", this->Domain.Text}, {"heartbeat", this->Heartbeat}};
+}
+
+void NodeRegistry::after(Duration Time, void (NodeRegistry::*Next)()) {
+  this->Timer.expires_after(Time);
+  this->Timer.async_wait([this, Next](const asio::error_code &Cancelled) {
+    if (!Cancelled)
+      (this->*Next)();
+  });
+}
+
+void NodeRegistry::enter() {
+  this->Calls.call(this->Adapter.CreateCall(ObjectKind::Nodes, this->Self.Text,
+                                            this->content()),
+                   [this](const Expected<HttpResponse> &Result) {
+                     // A former process of this node has entered it, so the
+                     // others are not just starting.
+                     const bool Known =
+                         Result &&
+                         Result->Status == StoreChannel::ConflictStatus;
+                     if (Known || isDone(Result)) {
+                       this->Settled = Known;
+                       if (Known)
+                         this->countAll();
+                       else
+                         this->after(FirstCountDelay, &NodeRegistry::countAll);
+                       return;
+                     }
+                     logEvent(LogLevel::Warning, "node-not-registered",
+                              {{"detail", describeResult(Result)}});
+                     this->after(ObjectFeed::MaxPause, &NodeRegistry::enter);
+                   });
+}
+
+void NodeRegistry::renew() {
+  ++this->Heartbeat;
+  this->Calls.call(this->Adapter.ReplaceCall(ObjectKind::Nodes, this->Self.Text,
+                                             this->content()),
+                   [this](const Expected<HttpResponse> &Result) {
+                     if (Result &&
+                         Result->Status == StoreChannel::NotFoundStatus) {
+                       this->enter();
+                       return;
+                     }
+                     if (!isDone(Result))
+                       logEvent(LogLevel::Warning, "node-not-renewed",
+                                {{"detail", describeResult(Result)}});
+                     this->countAll();
+                   });
+}
+
+void NodeRegistry::count(const std::string &After) {
+  if (After.empty())
+    this->Listed.clear();
+  this->Calls.call(
+      this->Adapter.StaleListCall(ObjectKind::Nodes, After),
+      [this](const Expected<HttpResponse> &Result) {
+        const FeedInput Read = Result
+                                   ? this->Adapter.ReadPage(*Result)
+                                   : FeedInput(FeedCallFailed{Result.error()});
+        const auto *Page = std::get_if<FeedPage>(&Read);
+        if (Page == nullptr) {
+          logEvent(LogLevel::Warning, "nodes-not-counted",
+                   {{"detail", describeResult(Result)}});
+          this->after(ObjectFeed::MaxPause, &NodeRegistry::countAll);
+          return;
+        }
+        for (const StoredObject &Object : Page->Objects)
+          this->Listed[NodeName{Object.Name}] =
+              Object.Content.is_object()
+                  ? Object.Content.value("heartbeat", std::uint64_t(0))
+                  : 0;
+        if (Page->HasMore && !Page->Objects.empty())
+          this->count(Page->Objects.back().Name);
+        else
+          this->onCounted();
+      });
+}
+
+void NodeRegistry::onCounted() {
+  const TimePoint Now = steadyNow();
+  this->Entries.listed(this->Listed, Now);
+  this->Known.setNodes(this->Entries.nodes());
+  this->OnChanged();
+  for (const NodeName &Gone : this->Entries.expired(Now)) {
+    logEvent(LogLevel::Info, "node-entry-expired", {{"name", Gone.Text}});
+    this->Calls.call(
+        this->Adapter.RemoveCall(ObjectKind::Nodes, Gone.Text),
+        [Gone](const Expected<HttpResponse> &Result) {
+          if (!isDone(Result))
+            logEvent(LogLevel::Warning, "node-entry-not-removed",
+                     {{"name", Gone.Text}, {"detail", describeResult(Result)}});
+        });
+  }
+  if (this->Settled)
+    this->after(RecountInterval, &NodeRegistry::renew);
+  else
+    this->after(FirstRecount, &NodeRegistry::countAll);
+  this->Settled = true;
+}
+
+} // namespace balsamyard
--- /dev/null
+++ b/balsamyard/src/Process/NodeRegistry.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "balsamyard/src/Connection/StoreCalls.h"
+#include "balsamyard/src/Process/Discovery.h"
+#include "balsamyard/src/Process/NodeEntries.h"
+#include "balsamyard/src/Process/PlatformAdapter.h"
+
+#include <asio/steady_timer.hpp>
+#include <functional>
+
+namespace balsamyard {
+
+/// \brief Keeps the entry of this node in the store and counts the nodes, who
+/// share the limits of the deployment. Runs on the control thread.
+class NodeRegistry {
+public:
+  /// Nodes that start together register within a second or two. The count is
+  /// a cheap read that may be seconds old; later ones follow changes of the
+  /// fleet.
+  static constexpr Duration FirstCountDelay = std::chrono::seconds(4);
+  static constexpr Duration FirstRecount = std::chrono::seconds(4);
+  static constexpr Duration RecountInterval = std::chrono::seconds(60);
+
+  /// \p OnChanged is called when \p Known has changed.
+  NodeRegistry(asio::io_context &Context, const NodeSettings &Settings,
+               const PlatformAdapter &Adapter, Discovery &Known,
+               std::function<void()> OnChanged);
+
+  void start() { this->enter(); }
+
+  /// \brief The settings were read again.
+  void reload(const NodeSettings &Settings);
+
+private:
+  nlohmann::json content() const;
+  void enter();
+  void renew();
+  void count(const std::string &After);
+  void onCounted();
+  void after(Duration Time, void (NodeRegistry::*Next)());
+  void countAll() { this->count({}); }
+
+  const NodeName Self;
+  const DomainName Domain;
+  const PlatformAdapter &Adapter;
+  Discovery &Known;
+  const std::function<void()> OnChanged;
+  NodeEntries Entries;
+  StoreCalls Calls;
+  asio::steady_timer Timer;
+  std::uint64_t Heartbeat;
+  std::map<NodeName, std::uint64_t> Listed; ///< Of the pages read so far.
+  bool Settled = false; ///< The nodes that start together are counted.
+};
+
+} // namespace balsamyard
