--- /dev/null
+++ b/fuzz/Platform.cpp
@@ -0,0 +1,177 @@
+#include "platform/Platform.h"
+#include "balsamyard/src/Connection/HttpParser.h"
+#include "balsamyard/src/Process/CrashRecords.h"
+#include "balsamyard/src/Process/MoveCounts.h"
+#include "fuzz/Mutate.h"
+
+#include <fstream>
+#include <unistd.h>
+
+using namespace balsamyard;
+
+namespace {
+
+constexpr int Ok = 200;
+
+HttpResponse answer(const std::string &Body) {
+  HttpResponse Result;
+  Result.Status = Ok;
+  Result.Body = Body;
+  return Result;
+}
+
+/// The objects of a list go through the decoder of their kind.
+template <typename Decode>
+int checkObjects(const std::string &Text, Decode Read) {
+  const FeedInput Input = platform::readPage(answer(Text));
+  const auto *Page = std::get_if<FeedPage>(&Input);
+  if (Page == nullptr)
+    return std::holds_alternative<FeedCallFailed>(Input) ? 0 : -1;
+  int Accepted = 0;
+  for (const StoredObject &Object : Page->Objects)
+    Accepted += Read(Object) ? 1 : 0;
+  return Accepted > 0 ? 1 : 0;
+}
+
+int checkConfiguration(const std::string &Text) {
+  return checkObjects(Text, [](const StoredObject &Object) {
+    const auto Read = platform::readConfiguration(Object);
+    if (Read)
+      (*Read)->match("a.example", "/search/x");
+    return bool(Read);
+  });
+}
+
+int checkTarget(const std::string &Text) {
+  return checkObjects(Text, [](const StoredObject &Object) {
+    return bool(platform::readTarget(Object));
+  });
+}
+
+int checkMove(const std::string &Text) {
+  return checkObjects(Text, [](const StoredObject &Object) {
+    return bool(platform::readMove(Object));
+  });
+}
+
+int checkCounts(const std::string &Text) {
+  return checkObjects(Text, [](const StoredObject &Object) {
+    return bool(decodeCounts(Object.Content));
+  });
+}
+
+int checkCrashRecord(const std::string &Text) {
+  return checkObjects(Text, [](const StoredObject &Object) {
+    return bool(decodeCrashRecord(Object.Content));
+  });
+}
+
+int checkEvents(const std::string &Text) {
+  const FeedInput Input = platform::readEvents(answer(Text));
+  if (std::holds_alternative<FeedCallFailed>(Input))
+    return 0;
+  return std::holds_alternative<FeedEvents>(Input) ? 1 : -1;
+}
+
+/// Reads one message as it comes, in one piece.
+template <typename Parser>
+int checkMessage(Parser &Reader, const std::string &Text) {
+  const HttpStep Step = Reader.read(Text);
+  if (Step.Consumed > Text.size())
+    return -1;
+  if (const auto *Fault = std::get_if<HttpMalformed>(&Step.Progress))
+    return Fault->Status >= 400 && Fault->Status < 600 ? 0 : -1;
+  if (std::holds_alternative<HttpIncomplete>(Step.Progress))
+    return 0;
+  Reader.take();
+  return 1;
+}
+
+int checkRequest(const std::string &Text) {
+  RequestParser Reader;
+  Reader.limit({4096, 4096});
+  return checkMessage(Reader, Text);
+}
+
+int checkResponse(const std::string &Text) {
+  ResponseParser Reader({4096, 4096});
+  Reader.begin(true);
+  return checkMessage(Reader, Text);
+}
+
+/// A refusal names the file; the text says where in it.
+int checkSettings(const std::string &Text) {
+  static const std::string Path =
+      "/tmp/balsamyard-fuzz-" + std::to_string(::getpid()) + ".yaml";
+  std::ofstream(Path, std::ios::binary) << Text;
+  const Expected<NodeSettings> Read = platform::readSettings(Path);
+  ::unlink(Path.c_str());
+  if (Read)
+    return 1;
+  return Read.error().Detail.starts_with(Path) ? 0 : -1;
+}
+
+std::string list(const std::string &Spec, const std::string &Status = "null") {
+  return R"({"items":[{"meta":{"name":"main","revision":41},"spec":)" + Spec +
+         R"(,"status":)" + Status + R"(}],"hasMore":false,"asOf":530})";
+}
+
+constexpr const char *ConfigurationText =
+    R"({"version":7,"routes":[{"name":"r","host":"a.example","pathPrefix":"/search/","type":"idempotent",)"
+    R"("timeoutMs":600,"targetLatencyMs":120,"priority":2,"gather":["s1","s2"],"attempts":2,"topK":5,)"
+    R"("minCoverage":0.75,"allowedRegions":["north"]},{"name":"w","host":"a.example","pathPrefix":"/w/",)"
+    R"("type":"non_idempotent","trafficSplit":[{"service":"s3","weight":0.5},{"service":"s4","weight":0.5}]}],)"
+    R"("services":[{"name":"s1","healthPath":"/health","maxConnections":31,"warmupS":3,"warmupPerS":2}],)"
+    R"("limits":{"maxHeaderBytes":4096,"maxBodyBytes":4096,"headerTimeoutMs":2000,"idleTimeoutMs":20000}})";
+
+constexpr const char *TargetText =
+    R"({"service":"s1","address":"10.1.0.9:8080","zone":"z","version":"v1","slots":3,"state":"ready",)"
+    R"("warmupLeftMs":0,"sequence":4,"born":1700000000000})";
+
+constexpr const char *EventsText =
+    R"({"events":[{"removed":false,"object":{"meta":{"name":"i-1","revision":9},"spec":{},"status":null}}],"asOf":533})";
+
+constexpr const char *SettingsText =
+    "nodeName: \"front-1\"\nzone: \"z\"\nregion: \"r\"\nzones:\n  z: \"r\"\n"
+    "listen:\n  front: \"10.1.0.9:8104\"\n  readinessAddr: \"10.1.0.9:8108\"\n"
+    "limits:\n  cores: 1\nbounds:\n  drainMs: 3000\n  retryBudgetRatio: 0.2\n"
+    "platform:\n  address: \"10.200.1.7:8102\"\n";
+
+} // namespace
+
+int main() {
+  bool Good = true;
+  Good &=
+      fuzz::run("configuration", {list(ConfigurationText)}, checkConfiguration);
+  Good &= fuzz::run("target entry", {list(TargetText)}, checkTarget);
+  Good &= fuzz::run(
+      "move order",
+      {list(R"({"service":"s1","targetVersion":"v2","durationS":12})",
+            R"({"state":"running","targetVersion":"v2","step":1,"due":99})")},
+      checkMove);
+  Good &= fuzz::run(
+      "move counts",
+      {list(
+          R"({"service":"s1","version":"v2","node":"n","incarnation":7,"rows":[[3,10,2,1,90,0,4]]})")},
+      checkCounts);
+  Good &= fuzz::run(
+      "crash record",
+      {list(R"({"print":42,"node":"n","requests":2,"targets":["i-1","i-2"]})")},
+      checkCrashRecord);
+  Good &= fuzz::run("watch events", {EventsText}, checkEvents);
+  Good &=
+      fuzz::run("http request",
+                {"POST /a/b?c HTTP/1.1\r\nHost: a.example\r\nX-Other: kept\r\n"
+                 "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+                 "POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabc"},
+                checkRequest);
+  Good &= fuzz::run(
+      "http response",
+      {"HTTP/1.1 200 OK\r\nContent-Length: 3\r\nKeep-Alive: timeout=5\r\n\r\n"
+       "abc",
+       "HTTP/1.1 503 Full\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n"
+       "\r\n"},
+      checkResponse);
+  Good &= fuzz::run("platform settings", {SettingsText}, checkSettings);
+  return Good ? 0 : 1;
+}
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -18,4 +18,8 @@
 "$BUILD/balsamyard-tests" "${EXCLUDED[@]}"
 "$BUILD/balsamyard-path-tests" "${EXCLUDED[@]}"
 bash tests/end_to_end.sh "$PWD/$BUILD/bin"
+# Seeds that once found a fault; docs/PROOFS.md says which.
+for SEED in 1 15; do
+  "$BUILD/bin/balsamyard-soak" --program "$BUILD/bin/balsamyard-node" --seed "$SEED" --seconds 6
+done
 ctest --test-dir "$BUILD" --output-on-failure -E '^balsamyard-(path-)?tests$' --no-tests=ignore
--- a/tests/path/PlatformTest.cpp
+++ b/tests/path/PlatformTest.cpp
@@ -271,6 +271,33 @@
   }
 }
 
+// An entry of another writer with very many levels overflowed the stack of the
+// control thread, at every node at once.
+SCENARIO("an entry nests very deeply", "[platform]") {
+  constexpr std::size_t Levels = 400000;
+  const std::string Deep = std::string(Levels, '[') + std::string(Levels, ']');
+  const auto Item = [](const std::string &Name, const std::string &Spec) {
+    return R"({"meta":{"name":")" + Name + R"(","revision":1},"spec":)" + Spec +
+           "}";
+  };
+  GIVEN("a list that holds it beside a sound one") {
+    HttpResponse Answer;
+    Answer.Status = 200;
+    Answer.Body = R"({"items":[)" + Item("deep", Deep) + "," +
+                  Item("sound", R"({"service":"records","targetVersion":"v2",
+                       "durationS":12})") +
+                  R"(],"hasMore":false,"asOf":3})";
+    THEN("only the sound one is used") {
+      const FeedInput Input = platform::readPage(Answer);
+      const auto *Page = std::get_if<FeedPage>(&Input);
+      REQUIRE(Page != nullptr);
+      REQUIRE(Page->Objects.size() == 2);
+      CHECK_FALSE(platform::readMove(Page->Objects[0]));
+      CHECK(platform::readMove(Page->Objects[1]));
+    }
+  }
+}
+
 // Guards against names of the platform outside its folder, where they would be
 // decoded twice.
 TEST_CASE("names of the platform stay in its folder", "[platform]") {
--- a/tests/soak/NodeProcess.cpp
+++ b/tests/soak/NodeProcess.cpp
@@ -57,6 +57,9 @@
                                      (Base + ".log").c_str(),
                                      O_WRONLY | O_CREAT | O_APPEND, 0644);
   ::posix_spawn_file_actions_adddup2(&Files, STDOUT_FILENO, STDERR_FILENO);
+  // A socket that the node inherited would stay open when this process closes
+  // it, and its peer would never see the end of the connection.
+  ::posix_spawn_file_actions_addclosefrom_np(&Files, STDERR_FILENO + 1);
   std::string Program = this->Place.Program;
   std::string Flag = "--settings";
   std::string Path = Base + ".yaml";
--- a/tests/soak/World.cpp
+++ b/tests/soak/World.cpp
@@ -91,6 +91,7 @@
 }
 
 World::~World() {
+  this->Finished = true;
   for (const std::shared_ptr<SoakCaller> &Each : this->Callers)
     Each->stop();
   this->Nodes.clear();
@@ -309,6 +310,8 @@
 }
 
 void World::onEnd(const Exchange &Ended) {
+  if (this->Finished)
+    return;
   const Member &Served = this->Nodes[Ended.Node];
   const NodeProcess &Process = *Served.Process;
   const bool Success = Ended.Answer.Status / 100 == 2;
--- a/tests/soak/World.h
+++ b/tests/soak/World.h
@@ -116,6 +116,7 @@
   TimePoint EvacuationChangeAt{};
   TimePoint StartedAt;
   int Requests = 0;
+  bool Finished = false; ///< What callers see of the end says nothing.
   std::size_t SuccessesInARow = 0;
   TimePoint LastFailureAt{};
 };
