Read crash records by cheap reads instead of a watch

Each crash record woke every node.

An own record that a list lacks is kept for 10 s, since the list may be older. Orders keep their watch: until a node knows an order, all versions get requests.

balsamyardctl explain prints what the node knew of the request's targets in the 10 s before.

--- a/apps/balsamyardctl/ReportCommands.cpp
+++ b/apps/balsamyardctl/ReportCommands.cpp
@@ -9,6 +9,9 @@
 
 namespace {
 
+/// Faults of targets show in the requests of the next seconds.
+constexpr std::chrono::seconds ExplainedTime(10);
+
 /// \returns what an event means, in words.
 std::string sentence(const TimelineEvent &Event) {
   static const std::map<std::string, std::string> Meanings = {
@@ -19,7 +22,17 @@
       {"request-quarantined", "the request was quarantined"},
       {"target-connection-broke", "a target closed the connection"},
       {"slot-cold", "a target was found in cold start"},
-      {"slot-leaving", "a target was found leaving"}};
+      {"slot-leaving", "a target was found leaving"},
+      {"request-ended", "the request ended"},
+      {"caller-left", "the caller left before the answer"},
+      {"target-suspect", "a target lost all its connections"},
+      {"target-reached", "a target answered its health check"},
+      {"target-unreachable", "a target did not answer its health check"},
+      {"target-check-rejected", "a target rejected its health check"},
+      {"target-cold", "a target was in cold start"},
+      {"target-leaving", "a target said that it leaves"},
+      {"target-withdrawn", "the entry of a target disappeared"},
+      {"target-gone", "a target was given up"}};
   static const std::map<std::string, std::string> Outcomes = {
       {"not_run", "it was not run"},
       {"unknown", "it is not known whether it ran"},
@@ -42,6 +55,15 @@
     Merged.readFile(File);
 }
 
+void print(const TimelineEvent &Event, const TimelineEvent &First) {
+  const auto Since = std::chrono::duration_cast<std::chrono::microseconds>(
+      Event.Time - First.Time);
+  std::cout << Event.field("time") << " (" << (Since.count() < 0 ? "" : "+")
+            << Since.count() << " us) at the " << Event.field("process")
+            << " process of " << Event.field("node") << ": " << sentence(Event)
+            << "\n";
+}
+
 ExitStatus reportFaults(const Timeline &Merged) {
   for (const TimelineFault &Fault : Merged.faults())
     std::cerr << Fault.File << ":" << Fault.Line << ": " << Fault.Detail
@@ -64,11 +86,10 @@
   if (Events.empty())
     std::cout << "no process logged request " << *Filter.Request << "\n";
   for (const TimelineEvent *Event : Events) {
-    const auto Since = std::chrono::duration_cast<std::chrono::microseconds>(
-        Event->Time - Events.front()->Time);
-    std::cout << Event->field("time") << " (+" << Since.count()
-              << " us) at the " << Event->field("process") << " process of "
-              << Event->field("node") << ": " << sentence(*Event) << "\n";
+    // What was known of the targets explains why the request went as it did.
+    for (const TimelineEvent *Earlier : Merged.leadingTo(*Event, ExplainedTime))
+      print(*Earlier, *Events.front());
+    print(*Event, *Events.front());
   }
   const ExitStatus Read = reportFaults(Merged);
   return Events.empty() ? Faulty : Read;
--- a/balsamyard/src/Process/CrashAgent.cpp
+++ b/balsamyard/src/Process/CrashAgent.cpp
@@ -2,6 +2,8 @@
 
 #include "balsamyard/src/Core/Log.h"
 
+#include <utility>
+
 namespace balsamyard {
 
 CrashAgent::CrashAgent(asio::io_context &Context, const NodeSettings &Settings,
@@ -20,39 +22,50 @@
   std::visit([this](const auto &What) { this->apply(What); }, Event);
 }
 
-void CrashAgent::see(const StoredObject &Object) {
-  const Expected<CrashRecord> Read = decodeCrashRecord(Object.Content);
-  if (!Read || crashRecordName(*Read) != Object.Name) {
-    logEvent(LogLevel::Warning, "crash-record-unreadable",
-             {{"object", Object.Name}});
-    return;
-  }
-  if (this->Names.empty())
-    this->check();
-  this->Names.insert(Object.Name);
-  this->apply(CrashRecordSeen{*Read});
-}
-
-void CrashAgent::drop(const std::string &Name) {
-  this->Names.erase(Name);
-  this->apply(CrashRecordRemoved{Name});
+void CrashAgent::readLater() {
+  this->Timer.expires_after(ReadInterval);
+  this->Timer.async_wait([this](const asio::error_code &Cancelled) {
+    if (Cancelled)
+      return;
+    if (!this->Decisions.empty())
+      this->apply(CrashTimePassed{this->Known.rank()});
+    this->read({});
+  });
 }
 
-void CrashAgent::keepOnly(const std::set<std::string> &Listed) {
-  const std::set<std::string> Former = this->Names;
-  for (const std::string &Name : Former)
-    if (!Listed.contains(Name))
-      this->drop(Name);
+void CrashAgent::read(const std::string &After) {
+  if (After.empty())
+    this->Listed.clear();
+  this->Calls.call(this->Adapter.StaleListCall(ObjectKind::Crashes, After),
+                   [this](const Expected<HttpResponse> &Result) {
+                     const FeedInput Read =
+                         Result ? this->Adapter.ReadPage(*Result)
+                                : FeedInput(FeedCallFailed{Result.error()});
+                     if (const auto *Page = std::get_if<FeedPage>(&Read)) {
+                       this->onPage(*Page);
+                       return;
+                     }
+                     logEvent(LogLevel::Warning, "crash-records-not-read",
+                              {{"detail", describeResult(Result)}});
+                     this->readLater();
+                   });
 }
 
-void CrashAgent::check() {
-  this->Timer.expires_after(CheckInterval);
-  this->Timer.async_wait([this](const asio::error_code &Cancelled) {
-    if (Cancelled || this->Names.empty())
-      return;
-    this->apply(CrashTimePassed{this->Known.rank()});
-    this->check();
-  });
+void CrashAgent::onPage(const FeedPage &Page) {
+  for (const StoredObject &Object : Page.Objects) {
+    Expected<CrashRecord> Read = decodeCrashRecord(Object.Content);
+    if (Read && crashRecordName(*Read) == Object.Name)
+      this->Listed.push_back(std::move(*Read));
+    else
+      logEvent(LogLevel::Warning, "crash-record-unreadable",
+               {{"object", Object.Name}});
+  }
+  if (Page.HasMore && !Page.Objects.empty()) {
+    this->read(Page.Objects.back().Name);
+    return;
+  }
+  this->apply(CrashRecordsListed{std::exchange(this->Listed, {})});
+  this->readLater();
 }
 
 void CrashAgent::apply(const CrashRecordEvent &Event) {
--- a/balsamyard/src/Process/CrashAgent.h
+++ b/balsamyard/src/Process/CrashAgent.h
@@ -7,7 +7,7 @@
 
 #include <asio/steady_timer.hpp>
 #include <functional>
-#include <set>
+#include <vector>
 
 namespace balsamyard {
 
@@ -15,32 +15,31 @@
 /// and shares what this node saw through the store. Runs on the control thread.
 class CrashAgent {
 public:
-  /// How often old records are looked for.
-  static constexpr Duration CheckInterval = std::chrono::seconds(5);
+  /// How often the records of the others are read. The read is a cheap one,
+  /// seconds old: a request that crashes targets has to be known everywhere
+  /// within a few seconds, and a watch would wake all nodes at each crash.
+  static constexpr Duration ReadInterval = std::chrono::seconds(4);
 
   /// \p OnChanged is called when \p Known has changed.
   CrashAgent(asio::io_context &Context, const NodeSettings &Settings,
              const PlatformAdapter &Adapter, Discovery &Known,
              std::function<void()> OnChanged);
 
+  void start() { this->read({}); }
+
   /// \brief The settings were read again.
   void reload(const NodeSettings &Settings);
 
   /// \brief A request told what became of it.
   void report(const RequestCrashEvent &Event);
 
-  /// \brief A record was read from the store, or is gone.
-  void see(const StoredObject &Object);
-  void drop(const std::string &Name);
-
-  /// \brief Drops every record that is not in \p Listed.
-  void keepOnly(const std::set<std::string> &Listed);
-
 private:
   void apply(const CrashRecordEvent &Event);
   void perform(const WriteCrashRecord &Effect);
   void perform(const RemoveCrashRecord &Effect);
-  void check();
+  void read(const std::string &After);
+  void onPage(const FeedPage &Page);
+  void readLater();
 
   const PlatformAdapter &Adapter;
   Discovery &Known;
@@ -48,7 +47,7 @@
   CrashRecords Decisions;
   StoreCalls Calls;
   asio::steady_timer Timer;
-  std::set<std::string> Names; ///< Of the records in the store.
+  std::vector<CrashRecord> Listed; ///< Of the pages read so far.
 };
 
 } // namespace balsamyard
--- a/balsamyard/src/Process/CrashRecords.cpp
+++ b/balsamyard/src/Process/CrashRecords.cpp
@@ -81,19 +81,23 @@
   return Result;
 }
 
-void CrashRecords::on(const CrashRecordSeen &Event, TimePoint Now, Effects &) {
-  const std::string Name = crashRecordName(Event.Record);
-  const auto [At, First] = this->Records.try_emplace(Name);
-  if (First)
-    At->second.Since = Now;
-  // The store may still show an older state of an own record.
-  if (First || Event.Record.Node != this->Self ||
-      Event.Record.Requests > At->second.Record.Requests)
-    At->second.Record = Event.Record;
-}
-
-void CrashRecords::on(const CrashRecordRemoved &Event, TimePoint, Effects &) {
-  this->Records.erase(Event.Name);
+void CrashRecords::on(const CrashRecordsListed &Event, TimePoint Now,
+                      Effects &) {
+  std::set<std::string> Listed;
+  for (const CrashRecord &Record : Event.Records) {
+    const std::string Name = crashRecordName(Record);
+    Listed.insert(Name);
+    const auto [At, First] = this->Records.try_emplace(Name);
+    if (First)
+      At->second.Since = Now;
+    if (First || Record.Node != this->Self)
+      At->second.Record = Record;
+  }
+  std::erase_if(this->Records, [&](const auto &Each) {
+    return !Listed.contains(Each.first) &&
+           (Each.second.Record.Node != this->Self ||
+            Now - Each.second.WrittenAt >= StaleTime);
+  });
 }
 
 void CrashRecords::on(const RequestCrashed &Event, TimePoint Now,
@@ -111,8 +115,9 @@
         });
     if (static_cast<std::size_t>(Count) >= MaxOwn)
       return;
-    this->Records[Name] = {Own, Now};
+    this->Records[Name] = {Own, Now, Now};
   }
+  this->Records[Name].WrittenAt = Now;
   CrashRecord &Record = this->Records[Name].Record;
   ++Record.Requests;
   Record.Targets.insert(Event.Targets.begin(), Event.Targets.end());
--- a/balsamyard/src/Process/CrashRecords.h
+++ b/balsamyard/src/Process/CrashRecords.h
@@ -27,14 +27,9 @@
 /// \returns the name of the object of a record.
 std::string crashRecordName(const CrashRecord &Record);
 
-/// \brief A record was read.
-struct CrashRecordSeen {
-  CrashRecord Record;
-};
-
-/// \brief A record is gone.
-struct CrashRecordRemoved {
-  std::string Name;
+/// \brief All records were read, as they were up to StaleTime ago.
+struct CrashRecordsListed {
+  std::vector<CrashRecord> Records;
 };
 
 /// \brief Time has passed. Rank: of this node among all.
@@ -42,9 +37,8 @@
   std::uint32_t Rank = 0;
 };
 
-using CrashRecordEvent =
-    std::variant<CrashRecordSeen, CrashRecordRemoved, RequestCrashed,
-                 RequestCameThrough, CrashTimePassed>;
+using CrashRecordEvent = std::variant<CrashRecordsListed, RequestCrashed,
+                                      RequestCameThrough, CrashTimePassed>;
 
 /// \brief Create or replace the object of the record.
 struct WriteCrashRecord {
@@ -77,6 +71,9 @@
   /// after the other.
   static constexpr Duration RankDelay = std::chrono::seconds(10);
 
+  /// A list may be this old: an own record that it lacks may be newer.
+  static constexpr Duration StaleTime = std::chrono::seconds(10);
+
   /// Own records. A loss of many targets breaks many requests, of which none is
   /// to blame.
   static constexpr std::size_t MaxOwn = 128;
@@ -89,16 +86,18 @@
   /// \returns what requests have to know.
   Ref<const CrashList> list() const;
 
+  bool empty() const { return this->Records.empty(); }
+
 private:
   using Effects = std::vector<CrashRecordEffect>;
 
   struct Entry {
     CrashRecord Record;
     TimePoint Since{};
+    TimePoint WrittenAt{}; ///< Of an own record.
   };
 
-  void on(const CrashRecordSeen &Event, TimePoint Now, Effects &Out);
-  void on(const CrashRecordRemoved &Event, TimePoint Now, Effects &Out);
+  void on(const CrashRecordsListed &Event, TimePoint Now, Effects &Out);
   void on(const RequestCrashed &Event, TimePoint Now, Effects &Out);
   void on(const RequestCameThrough &Event, TimePoint Now, Effects &Out);
   void on(const CrashTimePassed &Event, TimePoint Now, Effects &Out);
--- a/balsamyard/src/Process/FleetAgent.cpp
+++ b/balsamyard/src/Process/FleetAgent.cpp
@@ -16,9 +16,7 @@
             std::make_unique<Feed>(Context, ObjectKind::Evacuations,
                                    Duration::zero(), Settings.Store),
             std::make_unique<Feed>(Context, ObjectKind::Moves, Duration::zero(),
-                                   Settings.Store),
-            std::make_unique<Feed>(Context, ObjectKind::Crashes,
-                                   CrashEventPause, Settings.Store)},
+                                   Settings.Store)},
       Moves(Context, Settings, Adapter, this->Known,
             [this] { this->scheduleWork(); }),
       Crashes(Context, Settings, Adapter, this->Known,
@@ -31,6 +29,7 @@
   for (const std::unique_ptr<Feed> &Each : this->Feeds)
     this->input(*Each, FeedStarted{});
   this->Registry.start();
+  this->Crashes.start();
 }
 
 void FleetAgent::reload(const NodeSettings &Next) {
@@ -110,17 +109,9 @@
     this->Moves.keepOnly(Ordered);
     return;
   }
-  case ObjectKind::Crashes: {
-    std::set<std::string> Listed;
-    for (const StoredObject &Object : Output.Objects) {
-      Listed.insert(Object.Name);
-      this->Crashes.see(Object);
-    }
-    this->Crashes.keepOnly(Listed);
-    return;
-  }
   case ObjectKind::Nodes:
   case ObjectKind::MoveCounts:
+  case ObjectKind::Crashes:
     return;
   }
 }
@@ -155,14 +146,9 @@
     else
       this->applyMove(Change.Object);
     return;
-  case ObjectKind::Crashes:
-    if (Change.Removed)
-      this->Crashes.drop(Name);
-    else
-      this->Crashes.see(Change.Object);
-    return;
   case ObjectKind::Nodes:
   case ObjectKind::MoveCounts:
+  case ObjectKind::Crashes:
     return;
   }
 }
--- a/balsamyard/src/Process/FleetAgent.h
+++ b/balsamyard/src/Process/FleetAgent.h
@@ -29,10 +29,6 @@
   /// serves for seconds after it says so.
   static constexpr Duration TargetEventPause = std::chrono::milliseconds(300);
 
-  /// Records of crashes may wait: a request that crashes targets has to be
-  /// known everywhere within a few seconds.
-  static constexpr Duration CrashEventPause = std::chrono::seconds(1);
-
   /// Changes that arrive together are published once.
   static constexpr Duration PublishDelay = std::chrono::milliseconds(5);
 
@@ -85,7 +81,7 @@
   RcuCell<FleetView> &View;
   const std::function<void()> OnPublished;
   Discovery Known;
-  std::array<std::unique_ptr<Feed>, 5> Feeds;
+  std::array<std::unique_ptr<Feed>, 4> Feeds;
   MoveAgent Moves;
   CrashAgent Crashes;
   NodeRegistry Registry;
--- a/balsamyard/src/Process/Timeline.cpp
+++ b/balsamyard/src/Process/Timeline.cpp
@@ -5,6 +5,7 @@
 #include <fstream>
 #include <nlohmann/json.hpp>
 #include <set>
+#include <sstream>
 #include <string_view>
 #include <variant>
 
@@ -191,6 +192,28 @@
   return Selected;
 }
 
+std::vector<const TimelineEvent *>
+Timeline::leadingTo(const TimelineEvent &Ended,
+                    std::chrono::microseconds Before) const {
+  // "TARGET@DISTANCE KIND OUTCOME after MILLISECONDS; ..."
+  std::set<std::string> Targets;
+  std::istringstream Decisions(Ended.field("decisions"));
+  for (std::string Each; std::getline(Decisions >> std::ws, Each, ';');)
+    if (const std::size_t At = Each.find('@'); At != std::string::npos)
+      Targets.insert(Each.substr(0, At));
+  std::vector<const TimelineEvent *> Result;
+  for (const TimelineEvent &Event : this->Events)
+    if (Targets.contains(Event.field("target")) &&
+        Event.field("node") == Ended.field("node") &&
+        Event.Time <= Ended.Time && Event.Time + Before >= Ended.Time)
+      Result.push_back(&Event);
+  std::stable_sort(Result.begin(), Result.end(),
+                   [](const TimelineEvent *Left, const TimelineEvent *Right) {
+                     return Left->Time < Right->Time;
+                   });
+  return Result;
+}
+
 const std::vector<TimelineFault> &Timeline::faults() const {
   return this->Faults;
 }
--- a/tests/TimelineTest.cpp
+++ b/tests/TimelineTest.cpp
@@ -113,6 +113,42 @@
   }
 }
 
+// Guards against explanations that leave out why a target was slow or away.
+TEST_CASE("a request is explained by what its node knew of its targets",
+          "[timeline]") {
+  std::istringstream Lines(
+      R"({"time":"2026-12-04T08:00:00Z","event":"target-cold","node":"n1","target":"i-1"})"
+      "\n"
+      R"({"time":"2026-12-04T08:00:18Z","event":"target-suspect","node":"n1","target":"i-2"})"
+      "\n"
+      R"({"time":"2026-12-04T08:00:18Z","event":"target-suspect","node":"n2","target":"i-1"})"
+      "\n"
+      R"({"time":"2026-12-04T08:00:19Z","event":"target-suspect","node":"n1","target":"i-1"})"
+      "\n"
+      R"({"time":"2026-12-04T08:00:20Z","event":"request-ended","node":"n1","request":"r",)"
+      R"("decisions":"i-1@domain first broken after 5; i-3@far retry answered after 2"})"
+      "\n"
+      R"({"time":"2026-12-04T08:00:21Z","event":"target-reached","node":"n1","target":"i-1"})"
+      "\n");
+  Timeline Merged;
+  Merged.read("node.log", Lines);
+  REQUIRE(Merged.faults().empty());
+  const std::vector<const TimelineEvent *> Own =
+      Merged.select({.Request = "r"});
+  REQUIRE(Own.size() == 1);
+
+  SECTION("only its own node, its own targets and the time before it count") {
+    const auto Earlier =
+        Merged.leadingTo(*Own.front(), std::chrono::seconds(10));
+    REQUIRE(Earlier.size() == 1);
+    CHECK(Earlier.front()->Name == "target-suspect");
+    CHECK(Earlier.front()->field("target") == "i-1");
+  }
+  SECTION("a longer time tells more") {
+    CHECK(Merged.leadingTo(*Own.front(), std::chrono::minutes(1)).size() == 2);
+  }
+}
+
 // Guards against times that are read wrongly, which would reorder events.
 TEST_CASE("times of log lines are read strictly", "[timeline]") {
   SECTION("with fractions and offsets") {
