--- a/balsamyard/src/Process/Node.cpp
+++ b/balsamyard/src/Process/Node.cpp
@@ -29,6 +29,19 @@
   return Result;
 }
 
+/// \returns the hooks of a page that answers at once.
+ServerHooks
+pageHooks(std::function<void(ServerConnection &, const HttpRequest &)> Answer) {
+  return {[Answer = std::move(Answer)](ServerConnection &Peer,
+                                       const HttpRequest &Request) {
+            Answer(Peer, Request);
+          },
+          [](ServerConnection &) {
+            // Its answer is not needed any more.
+          },
+          [] { return ServerLimits{}; }};
+}
+
 /// \returns when the file was changed, 0 if that is not known.
 std::int64_t changeTime(const std::string &Path) {
   struct stat Status {};
@@ -119,28 +132,17 @@
               for (const auto &Path : this->Paths)
                 Path->follow();
             }),
-      Readiness(this->Control,
-                ServerHooks{
-                    [this](ServerConnection &Peer, const HttpRequest &Request) {
-                      this->onReadinessRequest(Peer, Request);
-                    },
-                    [](ServerConnection &) {
-                      // Its answer is not needed any more.
-                    },
-                    [] { return ServerLimits{}; }}),
-      MetricsPage(
-          this->Control,
-          ServerHooks{[this](ServerConnection &Peer, const HttpRequest &) {
-                        const bool KeepOpen = Peer.mayKeepOpen();
-                        Peer.answer(plainAnswer(200, this->metricsText(),
-                                                KeepOpen, {},
-                                                "text/plain; version=0.0.4"),
-                                    KeepOpen);
-                      },
-                      [](ServerConnection &) {
-                        // Its answer is not needed any more.
-                      },
-                      [] { return ServerLimits{}; }}),
+      Readiness(this->Control, pageHooks([this](ServerConnection &Peer,
+                                                const HttpRequest &Request) {
+                  this->onReadinessRequest(Peer, Request);
+                })),
+      MetricsPage(this->Control, pageHooks([this](ServerConnection &Peer,
+                                                  const HttpRequest &) {
+                    const bool KeepOpen = Peer.mayKeepOpen();
+                    Peer.answer(plainAnswer(200, this->metricsText(), KeepOpen,
+                                            {}, "text/plain; version=0.0.4"),
+                                KeepOpen);
+                  })),
       Signals(this->Control, SIGTERM, SIGINT, SIGHUP), StopTimer(this->Control),
       SettingsTimer(this->Control),
       SettingsChangedAt(changeTime(this->SettingsPath)) {
--- a/tests/soak/Proxy.cpp
+++ b/tests/soak/Proxy.cpp
@@ -137,7 +137,7 @@
 Proxy::Proxy(asio::io_context &Io, tcp::endpoint Upstream)
     : State(std::make_shared<Shared>()),
       Acceptor(Io, {asio::ip::make_address("127.0.0.1"), 0}) {
-  this->State->Upstream = Upstream;
+  this->State->Upstream = std::move(Upstream);
   this->accept();
 }
 
