--- a/balsamyard/src/Version/Configuration.h
+++ b/balsamyard/src/Version/Configuration.h
@@ -48,7 +48,7 @@
   Duration Timeout{};     ///< Longest time until the final answer.
   Duration LatencyGoal{}; ///< An answer within it has its full value.
   std::uint32_t MaxTargets =
-      1;                  ///< Targets that a request (of each shard) may reach.
+      1; ///< Targets that a request (of each shard) may reach.
   std::vector<RegionName> Regions; ///< Empty: every region may serve it.
   Destination To;
 };
