--- a/balsamyard/src/Request/RequestRun.cpp
+++ b/balsamyard/src/Request/RequestRun.cpp
@@ -256,7 +256,8 @@
       std::holds_alternative<NotExecutedAnswer>(Answer))
     return;
   const Fingerprint Print = fingerprintOf(this->Request);
-  if (View->Crashes->find(Print))
+  // A refusal stays: an attempt that began before it proves little against it.
+  if (View->Crashes->find(Print) == CrashStanding::Suspected)
     this->Context.OnCrashEvent(RequestCameThrough{Print});
 }
 
