--- a/balsamyard/src/Connection/StoreChannel.cpp
+++ b/balsamyard/src/Connection/StoreChannel.cpp
@@ -52,6 +52,13 @@
     Current(std::move(Result));
 }
 
+void StoreChannel::cancel() {
+  this->Timer.cancel();
+  this->Done = nullptr;
+  if (this->Link)
+    std::exchange(this->Link, nullptr)->close();
+}
+
 void StoreChannel::setStore(Endpoint Next) { this->Store = std::move(Next); }
 
 } // namespace balsamyard
--- a/balsamyard/src/Connection/StoreChannel.h
+++ b/balsamyard/src/Connection/StoreChannel.h
@@ -30,6 +30,9 @@
   /// latest.
   void call(std::string Message, Duration Timeout, Handler Done);
 
+  /// \brief Ends the running call; its handler is not called.
+  void cancel();
+
   /// \brief Sends later calls to \p Next.
   void setStore(Endpoint Next);
 
--- a/balsamyard/src/Process/CrashAgent.cpp
+++ b/balsamyard/src/Process/CrashAgent.cpp
@@ -8,8 +8,8 @@
 
 CrashAgent::CrashAgent(asio::io_context &Context, const NodeSettings &Settings,
                        const PlatformAdapter &Adapter, Discovery &Fleet,
-                       std::function<void()> OnChanged)
-    : Adapter(Adapter), Fleet(Fleet), OnChanged(std::move(OnChanged)),
+                       Handlers Events)
+    : Adapter(Adapter), Fleet(Fleet), Events(std::move(Events)),
       Decisions(Settings.Node), Calls(Context, Settings.Store), Timer(Context) {
   this->Fleet.setCrashes(this->Decisions.list());
 }
@@ -22,50 +22,56 @@
   std::visit([this](const auto &Body) { this->apply(Body); }, Event);
 }
 
-void CrashAgent::scheduleRead() {
+void CrashAgent::maintain() {
+  if (!this->Decisions.empty())
+    this->apply(CrashTimePassed{this->Fleet.rank()});
+  if (this->Events.ReadsStore())
+    this->readPage({});
   this->Timer.expires_after(ReadInterval);
   this->Timer.async_wait([this](const asio::error_code &Cancelled) {
-    if (Cancelled)
-      return;
-    if (!this->Decisions.empty())
-      this->apply(CrashTimePassed{this->Fleet.rank()});
-    this->readPage({});
+    if (!Cancelled)
+      this->maintain();
   });
 }
 
 void CrashAgent::readPage(const std::string &After) {
   if (After.empty())
-    this->Pending.clear();
+    this->Listing = {ObjectKind::Crashes, true, {}, {}};
   this->Calls.call(this->Adapter.StaleListCall(ObjectKind::Crashes, After),
                    [this](const Expected<HttpResponse> &Result) {
-                     const FeedInput Read =
+                     FeedInput Read =
                          Result ? this->Adapter.ReadPage(*Result)
                                 : FeedInput(FeedCallFailed{Result.error()});
-                     if (const auto *Page = std::get_if<FeedPage>(&Read)) {
+                     if (auto *Page = std::get_if<FeedPage>(&Read))
                        this->onPage(*Page);
-                       return;
-                     }
-                     logEvent(LogLevel::Warning, "crash-records-not-read",
-                              {{"detail", describeResult(Result)}});
-                     this->scheduleRead();
+                     else
+                       logEvent(LogLevel::Warning, "crash-records-not-read",
+                                {{"detail", describeResult(Result)}});
                    });
 }
 
-void CrashAgent::onPage(const FeedPage &Page) {
-  for (const StoredObject &Object : Page.Objects) {
+void CrashAgent::onPage(FeedPage &Page) {
+  if (this->Listing.Changes.empty())
+    this->Listing.AsOf = Page.AsOf;
+  for (StoredObject &Object : Page.Objects)
+    this->Listing.Changes.push_back({std::move(Object), false});
+  if (Page.HasMore && !this->Listing.Changes.empty())
+    this->readPage(this->Listing.Changes.back().Object.Name);
+  else
+    this->Events.OnListed(std::exchange(this->Listing, {}));
+}
+
+void CrashAgent::setRecords(const std::vector<StoredObject> &Listed) {
+  CrashRecordsListed Event;
+  for (const StoredObject &Object : Listed) {
     Expected<CrashRecord> Read = decodeCrashRecord(Object.Content);
     if (Read && crashRecordName(*Read) == Object.Name)
-      this->Pending.push_back(std::move(*Read));
+      Event.Records.push_back(std::move(*Read));
     else
       logEvent(LogLevel::Warning, "crash-record-unreadable",
                {{"object", Object.Name}});
   }
-  if (Page.HasMore && !Page.Objects.empty()) {
-    this->readPage(Page.Objects.back().Name);
-    return;
-  }
-  this->apply(CrashRecordsListed{std::exchange(this->Pending, {})});
-  this->scheduleRead();
+  this->apply(Event);
 }
 
 void CrashAgent::apply(const CrashRecordEvent &Event) {
@@ -81,7 +87,7 @@
       logEvent(LogLevel::Warning, "request-refused-from-now",
                {{"print", std::to_string(static_cast<std::uint64_t>(Print))}});
   this->Fleet.setCrashes(Next);
-  this->OnChanged();
+  this->Events.OnChanged();
 }
 
 void CrashAgent::perform(const WriteCrashRecord &Effect) {
--- a/balsamyard/src/Process/CrashAgent.h
+++ b/balsamyard/src/Process/CrashAgent.h
@@ -3,6 +3,7 @@
 #include "balsamyard/src/Connection/StoreCallQueue.h"
 #include "balsamyard/src/Process/CrashRecords.h"
 #include "balsamyard/src/Process/Discovery.h"
+#include "balsamyard/src/Process/ObjectCache.h"
 #include "balsamyard/src/Process/PlatformAdapter.h"
 
 #include <asio/steady_timer.hpp>
@@ -21,12 +22,24 @@
   /// cheap, whereas a watch would wake all nodes at each crash.
   static constexpr Duration ReadInterval = std::chrono::seconds(4);
 
-  /// \p OnChanged is called when \p Fleet has changed.
+  struct Handlers {
+    std::function<void()> OnChanged; ///< The list of crashes has changed.
+
+    /// All records were read from the store.
+    std::function<void(KindUpdate)> OnListed;
+
+    /// \returns whether this node reads the store. Otherwise it gets the
+    /// records from the node that it follows.
+    std::function<bool()> ReadsStore;
+  };
+
   CrashAgent(asio::io_context &Context, const NodeSettings &Settings,
-             const PlatformAdapter &Adapter, Discovery &Fleet,
-             std::function<void()> OnChanged);
+             const PlatformAdapter &Adapter, Discovery &Fleet, Handlers Events);
+
+  void start() { this->maintain(); }
 
-  void start() { this->readPage({}); }
+  /// \brief Applies the complete list of records.
+  void setRecords(const std::vector<StoredObject> &Listed);
 
   /// \brief Applies reloaded settings.
   void reload(const NodeSettings &Settings);
@@ -39,16 +52,16 @@
   void perform(const WriteCrashRecord &Effect);
   void perform(const RemoveCrashRecord &Effect);
   void readPage(const std::string &After);
-  void onPage(const FeedPage &Page);
-  void scheduleRead();
+  void onPage(FeedPage &Page);
+  void maintain();
 
   const PlatformAdapter &Adapter;
   Discovery &Fleet;
-  const std::function<void()> OnChanged;
+  const Handlers Events;
   CrashRecords Decisions;
   StoreCallQueue Calls;
   asio::steady_timer Timer;
-  std::vector<CrashRecord> Pending; ///< Records of the pages read so far.
+  KindUpdate Listing; ///< The pages read so far.
 };
 
 } // namespace balsamyard
--- a/balsamyard/src/Process/Discovery.cpp
+++ b/balsamyard/src/Process/Discovery.cpp
@@ -161,12 +161,6 @@
   Found->second.ExpiresAt = Now + this->withdrawalGrace(Now);
 }
 
-void Discovery::retainTargets(const std::set<TargetId> &Listed, TimePoint Now) {
-  for (const auto &[Id, Target] : this->Targets)
-    if (!Listed.contains(Id))
-      this->withdraw(Id, Now);
-}
-
 void Discovery::evacuate(const DomainName &Domain) {
   if (!this->Evacuated.insert(Domain).second)
     return;
@@ -183,15 +177,6 @@
     this->updateAdminState(Target);
 }
 
-void Discovery::setEvacuatedDomains(const std::set<DomainName> &Domains) {
-  const std::set<DomainName> Former = this->Evacuated;
-  for (const DomainName &Domain : Former)
-    if (!Domains.contains(Domain))
-      this->endEvacuation(Domain);
-  for (const DomainName &Domain : Domains)
-    this->evacuate(Domain);
-}
-
 void Discovery::setNodes(const std::set<NodeName> &Listed) {
   const auto Next =
       std::max<std::uint32_t>(static_cast<std::uint32_t>(Listed.size()), 1);
--- a/balsamyard/src/Process/Discovery.h
+++ b/balsamyard/src/Process/Discovery.h
@@ -4,6 +4,7 @@
 #include "balsamyard/src/Process/PlatformAdapter.h"
 #include "balsamyard/src/Version/FleetView.h"
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <set>
@@ -35,15 +36,9 @@
   /// disappear during an outage of the store and come back.
   void withdraw(const TargetId &Id, TimePoint Now);
 
-  /// \brief Withdraws every target that is not in \p Listed.
-  void retainTargets(const std::set<TargetId> &Listed, TimePoint Now);
-
   void evacuate(const DomainName &Domain);
   void endEvacuation(const DomainName &Domain);
 
-  /// \brief Evacuates \p Domains and ends all other evacuations.
-  void setEvacuatedDomains(const std::set<DomainName> &Domains);
-
   /// \brief Sets the nodes of the system, including this one.
   void setNodes(const std::set<NodeName> &Listed);
 
@@ -68,7 +63,9 @@
 
   /// \brief Records that the connection to the store was lost or restored.
   /// Entries that disappear shortly after may have lapsed and come back.
-  void markStoreUnstable(TimePoint Now) { this->UnstableAt = Now; }
+  void markStoreUnstable(TimePoint At) {
+    this->UnstableAt = std::max(this->UnstableAt.value_or(At), At);
+  }
 
   /// \returns when the next grace period of a withdrawn target ends, if any.
   std::optional<TimePoint> nextExpiry() const;
--- /dev/null
+++ b/balsamyard/src/Process/FeedCodec.cpp
@@ -0,0 +1,174 @@
+#include "balsamyard/src/Process/FeedCodec.h"
+
+#include "balsamyard/src/Core/Cbor.h"
+
+#include <utility>
+
+namespace balsamyard {
+
+namespace {
+
+using Json = nlohmann::json;
+
+/// Fields of an encoded change: name, revision, and the encoded object, which a
+/// removal leaves out.
+constexpr std::size_t RemovalFields = 2;
+constexpr std::size_t ObjectFields = 3;
+
+std::optional<ObjectKind> kindNamed(const Json &Value) {
+  if (Value.is_string())
+    for (const ObjectKind Kind : RelayedKinds)
+      if (Value.get_ref<const std::string &>() == name(Kind))
+        return Kind;
+  return std::nullopt;
+}
+
+/// \returns the member, or null if there is none.
+const Json &member(const Json &Object, const char *Name) {
+  static const Json Null;
+  const auto Found = Object.find(Name);
+  return Found == Object.end() ? Null : *Found;
+}
+
+tl::unexpected<Error> malformed(const char *Reason) {
+  return fail(Code::MalformedMessage, Reason);
+}
+
+Json encodeChange(const ObjectChange &Change, std::size_t &Bytes) {
+  const auto Revision = static_cast<std::uint64_t>(Change.Object.Revision);
+  if (Change.Removed)
+    return Json::array({Change.Object.Name, Revision});
+  const std::string Encoded = encodeObject(Change.Object);
+  Bytes += Encoded.size();
+  return Json::array({Change.Object.Name, Revision,
+                      Json::binary(std::vector<std::uint8_t>(Encoded.begin(),
+                                                             Encoded.end()))});
+}
+
+std::optional<ObjectChange> decodeChange(const Json &Item) {
+  if (!Item.is_array() ||
+      (Item.size() != RemovalFields && Item.size() != ObjectFields) ||
+      !Item[0].is_string() || !Item[1].is_number_unsigned())
+    return std::nullopt;
+  ObjectChange Result;
+  Result.Object.Name = Item[0].get<std::string>();
+  Result.Object.Revision = StoreRevision{Item[1].get<std::uint64_t>()};
+  Result.Removed = Item.size() == RemovalFields;
+  if (Result.Removed)
+    return Result;
+  if (!Item[2].is_binary())
+    return std::nullopt;
+  const auto &Encoded = Item[2].get_binary();
+  const std::string_view Bytes(reinterpret_cast<const char *>(Encoded.data()),
+                               Encoded.size());
+  if (!decodeObject(Bytes, Result.Object))
+    return std::nullopt;
+  return Result;
+}
+
+Expected<FeedMessage> decodeUpdate(const Json &Document) {
+  const std::optional<ObjectKind> Kind = kindNamed(member(Document, "kind"));
+  const Json &Complete = member(Document, "complete");
+  const Json &AsOf = member(Document, "as_of");
+  const Json &More = member(Document, "more");
+  const Json &Changes = member(Document, "changes");
+  if (!Kind || !Complete.is_boolean() || !AsOf.is_number_unsigned() ||
+      !More.is_boolean() || !Changes.is_array())
+    return malformed("a field of the update is missing or has the wrong type");
+  KindUpdatePart Result;
+  Result.Update.Kind = *Kind;
+  Result.Update.Complete = Complete.get<bool>();
+  Result.Update.AsOf = StoreRevision{AsOf.get<std::uint64_t>()};
+  Result.More = More.get<bool>();
+  for (const Json &Item : Changes) {
+    std::optional<ObjectChange> Change = decodeChange(Item);
+    if (!Change)
+      return malformed("a change of an object is malformed");
+    Result.Update.Changes.push_back(std::move(*Change));
+  }
+  return Result;
+}
+
+} // namespace
+
+std::string encodeFeedRequest(const FeedRequest &Request) {
+  Json Known = Json::object();
+  for (const auto &[Kind, Revision] : Request.Known)
+    Known[std::string(name(Kind))] = static_cast<std::uint64_t>(Revision);
+  return toCbor({{"node", Request.Node.Text}, {"known", std::move(Known)}});
+}
+
+Expected<FeedRequest> decodeFeedRequest(std::string_view Bytes) {
+  const Json Document = parseCbor(Bytes).value_or(nullptr);
+  if (!Document.is_object() || !member(Document, "node").is_string() ||
+      !member(Document, "known").is_object())
+    return malformed("a field of the request is missing or has the wrong type");
+  FeedRequest Result;
+  Result.Node.Text = member(Document, "node").get<std::string>();
+  for (const auto &[Key, Revision] : member(Document, "known").items()) {
+    const std::optional<ObjectKind> Kind = kindNamed(Key);
+    if (Kind && Revision.is_number_unsigned())
+      Result.Known[*Kind] = StoreRevision{Revision.get<std::uint64_t>()};
+  }
+  return Result;
+}
+
+std::string encodeFeedState(const FeedSourceState &State) {
+  Json Document = {{"connected", State.Connected}};
+  if (State.UnstableFor)
+    Document["unstable_us"] = State.UnstableFor->count();
+  return toCbor(Document);
+}
+
+std::vector<std::string> encodeKindUpdate(const KindUpdate &Update) {
+  std::vector<std::string> Result;
+  const auto Flush = [&](Json Changes, bool More) {
+    Result.push_back(toCbor({{"kind", std::string(name(Update.Kind))},
+                             {"complete", Update.Complete},
+                             {"as_of", static_cast<std::uint64_t>(Update.AsOf)},
+                             {"more", More},
+                             {"changes", std::move(Changes)}}));
+  };
+  Json Changes = Json::array();
+  std::size_t Bytes = 0;
+  for (const ObjectChange &Change : Update.Changes) {
+    Json Item = encodeChange(Change, Bytes);
+    if (Bytes > MaxPartBytes && !Changes.empty()) {
+      Flush(std::exchange(Changes, Json::array()), true);
+      Bytes = 0;
+    }
+    Changes.push_back(std::move(Item));
+  }
+  Flush(std::move(Changes), false);
+  return Result;
+}
+
+Expected<FeedMessage> decodeFeedMessage(std::string_view Bytes) {
+  const Json Document = parseCbor(Bytes).value_or(nullptr);
+  if (!Document.is_object())
+    return malformed("the message is not an object");
+  const Json &Connected = member(Document, "connected");
+  if (!Connected.is_boolean())
+    return decodeUpdate(Document);
+  FeedSourceState Result;
+  Result.Connected = Connected.get<bool>();
+  if (const Json &Age = member(Document, "unstable_us");
+      Age.is_number_unsigned())
+    Result.UnstableFor =
+        Duration(static_cast<std::int64_t>(Age.get<std::uint64_t>()));
+  return Result;
+}
+
+std::optional<KindUpdate> UpdateAssembler::add(KindUpdatePart Part) {
+  KindUpdate &Joined = this->Pending[Part.Update.Kind];
+  std::vector<ObjectChange> Former = std::move(Joined.Changes);
+  Joined = std::move(Part.Update);
+  Former.insert(Former.end(), std::make_move_iterator(Joined.Changes.begin()),
+                std::make_move_iterator(Joined.Changes.end()));
+  Joined.Changes = std::move(Former);
+  if (Part.More)
+    return std::nullopt;
+  return std::move(this->Pending.extract(Joined.Kind).mapped());
+}
+
+} // namespace balsamyard
--- /dev/null
+++ b/balsamyard/src/Process/FeedRelay.cpp
@@ -0,0 +1,135 @@
+#include "balsamyard/src/Process/FeedRelay.h"
+
+#include "balsamyard/src/Core/Log.h"
+
+#include <algorithm>
+#include <asio/post.hpp>
+
+namespace balsamyard {
+
+FeedRelay::FeedRelay(asio::io_context &Context, const ObjectCache &Objects)
+    : Context(Context), Objects(Objects), Timer(Context) {}
+
+Expected<void> FeedRelay::listen(const Endpoint &At) {
+  constexpr std::size_t Threads = 1;
+  auto Listening = PeerServer::listen(
+      At, Threads,
+      [this](std::string RequestPath, std::string Message,
+             Ref<PeerStream> Stream) {
+        asio::post(this->Context,
+                   [this, RequestPath = std::move(RequestPath),
+                    Message = std::move(Message), Stream = std::move(Stream)] {
+                     this->accept(RequestPath, Message, Stream);
+                   });
+      });
+  if (!Listening)
+    return tl::unexpected(Listening.error());
+  this->Server = std::move(*Listening);
+  this->sendStates();
+  return {};
+}
+
+void FeedRelay::accept(const std::string &RequestPath,
+                       const std::string &Message,
+                       const Ref<PeerStream> &Stream) {
+  Expected<FeedRequest> Request =
+      RequestPath == Path
+          ? decodeFeedRequest(Message)
+          : Expected<FeedRequest>(
+                fail(Code::UnknownPath, "no such path: " + RequestPath));
+  if (!Request) {
+    logEvent(
+        LogLevel::Warning, "feed-request-rejected",
+        {{"code", Request.error().Value}, {"detail", Request.error().Detail}});
+    return;
+  }
+  auto Joined = makeRef<Follower>();
+  Joined->Node = std::move(Request->Node);
+  Joined->Stream = Stream;
+  Joined->Sent = std::move(Request->Known);
+  this->Followers.push_back(Joined);
+  Stream->onCancel([this, Joined] {
+    asio::post(this->Context, [this, Joined] { this->remove(*Joined); });
+  });
+  this->sendChanges(*Joined);
+  Stream->send(this->encodedState());
+}
+
+void FeedRelay::remove(const Follower &Gone) {
+  std::erase_if(this->Followers, [&Gone](const Ref<Follower> &Item) {
+    return Item.get() == &Gone;
+  });
+}
+
+const std::vector<std::string> &
+FeedRelay::messages(ObjectKind Kind, std::optional<StoreRevision> Since) {
+  Encoded &Last = this->LastEncoded[Kind];
+  const StoreRevision AsOf = *this->Objects.asOf(Kind);
+  if (Last.Messages.empty() || Last.Since != Since || Last.AsOf != AsOf)
+    Last = {Since, AsOf, encodeKindUpdate(this->Objects.since(Kind, Since))};
+  return Last.Messages;
+}
+
+void FeedRelay::sendChanges(Follower &To) {
+  for (const ObjectKind Kind : RelayedKinds) {
+    const std::optional<StoreRevision> AsOf = this->Objects.asOf(Kind);
+    const auto Sent = To.Sent.find(Kind);
+    const std::optional<StoreRevision> Since =
+        Sent == To.Sent.end() ? std::nullopt : std::optional(Sent->second);
+    // A follower that knows more has to wait until this node has caught up.
+    if (!AsOf || (Since && *Since >= *AsOf))
+      continue;
+    for (const std::string &Message : this->messages(Kind, Since))
+      To.Stream->send(Message);
+    To.Sent[Kind] = *AsOf;
+  }
+}
+
+void FeedRelay::publish() {
+  for (const Ref<Follower> &Item : this->Followers)
+    this->sendChanges(*Item);
+}
+
+std::string FeedRelay::encodedState() const {
+  FeedSourceState State;
+  State.Connected = this->Connected;
+  if (this->UnstableSince)
+    State.UnstableFor = steadyNow() - *this->UnstableSince;
+  return encodeFeedState(State);
+}
+
+void FeedRelay::setState(bool NowConnected, std::optional<TimePoint> Since) {
+  const bool Changed = NowConnected != this->Connected;
+  this->Connected = NowConnected;
+  this->UnstableSince = Since;
+  if (Changed)
+    this->sendState();
+}
+
+void FeedRelay::sendState() {
+  if (this->Followers.empty())
+    return;
+  const std::string Message = this->encodedState();
+  for (const Ref<Follower> &Item : this->Followers)
+    Item->Stream->send(Message);
+}
+
+void FeedRelay::sendStates() {
+  this->sendState();
+  this->Timer.expires_after(StateInterval);
+  this->Timer.async_wait([this](const asio::error_code &Cancelled) {
+    if (!Cancelled)
+      this->sendStates();
+  });
+}
+
+void FeedRelay::stop() {
+  this->Timer.cancel();
+  for (const Ref<Follower> &Item : this->Followers)
+    Item->Stream->finish();
+  this->Followers.clear();
+  if (this->Server)
+    this->Server->drain();
+}
+
+} // namespace balsamyard
--- /dev/null
+++ b/balsamyard/src/Process/FeedSubscription.cpp
@@ -0,0 +1,75 @@
+#include "balsamyard/src/Process/FeedSubscription.h"
+
+#include "balsamyard/src/Core/Log.h"
+#include "balsamyard/src/Core/Overload.h"
+#include "balsamyard/src/Process/FeedRelay.h"
+
+#include <asio/post.hpp>
+#include <utility>
+
+namespace balsamyard {
+
+FeedSubscription::FeedSubscription(asio::io_context &Context, Handlers Events)
+    : Context(Context), Events(std::move(Events)) {}
+
+FeedSubscription::~FeedSubscription() { this->close(); }
+
+void FeedSubscription::open(const Endpoint &To, const FeedRequest &Request) {
+  constexpr std::size_t Threads = 1;
+  this->close();
+  if (!this->Client)
+    this->Client = std::make_unique<PeerClient>(Threads);
+  const auto Started = makeRef<Session>();
+  this->Current = Started;
+  Started->Call = this->Client->call(
+      To, FeedRelay::Path, encodeFeedRequest(Request), MaxTime,
+      [this, Started](std::string Message) {
+        asio::post(this->Context,
+                   [this, Started, Message = std::move(Message)] {
+                     this->onMessage(*Started, Message);
+                   });
+      },
+      [this, Started](Code, bool) {
+        asio::post(this->Context, [this, Started] { this->onEnd(*Started); });
+      });
+}
+
+void FeedSubscription::close() {
+  if (!this->Current)
+    return;
+  const Ref<Session> Closed = std::exchange(this->Current, nullptr);
+  Closed->Open = false;
+  if (const Ref<PeerCall> Call = std::exchange(Closed->Call, nullptr))
+    Call->cancel();
+}
+
+void FeedSubscription::onMessage(Session &From, const std::string &Message) {
+  if (!From.Open)
+    return;
+  Expected<FeedMessage> Read = decodeFeedMessage(Message);
+  if (!Read) {
+    logEvent(LogLevel::Error, "feed-message-unreadable",
+             {{"code", Read.error().Value}, {"detail", Read.error().Detail}});
+    this->close();
+    this->Events.OnEnd();
+    return;
+  }
+  std::visit(Overload{[this](const FeedSourceState &State) {
+                        this->Events.OnState(State);
+                      },
+                      [this, &From](KindUpdatePart &Part) {
+                        if (std::optional<KindUpdate> Update =
+                                From.Parts.add(std::move(Part)))
+                          this->Events.OnUpdate(std::move(*Update));
+                      }},
+             *Read);
+}
+
+void FeedSubscription::onEnd(Session &From) {
+  if (!From.Open)
+    return;
+  this->close();
+  this->Events.OnEnd();
+}
+
+} // namespace balsamyard
--- a/balsamyard/src/Process/FleetAgent.cpp
+++ b/balsamyard/src/Process/FleetAgent.cpp
@@ -2,39 +2,64 @@
 
 #include "balsamyard/src/Core/Log.h"
 
+#include <algorithm>
+#include <array>
+#include <random>
+
 namespace balsamyard {
 
+namespace {
+
+/// Kinds without which requests could be sent where they must not go, for
+/// example to evacuated targets.
+constexpr std::array RequiredKinds = {
+    ObjectKind::Configuration, ObjectKind::Targets, ObjectKind::Evacuations,
+    ObjectKind::Moves};
+
+} // namespace
+
 FleetAgent::FleetAgent(asio::io_context &Context, const NodeSettings &Settings,
                        const PlatformAdapter &Adapter, RcuCell<FleetView> &View,
                        std::function<void()> OnPublished)
     : Settings(Settings), Adapter(Adapter), View(View),
       OnPublished(std::move(OnPublished)), Fleet(Settings),
-      Feeds{std::make_unique<Feed>(Context, ObjectKind::Configuration,
-                                   Duration::zero(), Settings.Store),
-            std::make_unique<Feed>(Context, ObjectKind::Targets,
-                                   TargetWatchDelay, Settings.Store),
-            std::make_unique<Feed>(Context, ObjectKind::Evacuations,
-                                   Duration::zero(), Settings.Store),
-            std::make_unique<Feed>(Context, ObjectKind::Moves, Duration::zero(),
-                                   Settings.Store)},
+      Source(Settings.Node, Settings.Domain, std::random_device()()),
+      Reader(Context, Settings, Adapter,
+             {[this](KindUpdate Update) { this->onUpdate(std::move(Update)); },
+              [this] { this->onStoreConnection(); }}),
+      Subscription(
+          Context,
+          {[this](KindUpdate Update) { this->onUpdate(std::move(Update)); },
+           [this](const FeedSourceState &State) { this->onPeerState(State); },
+           [this] { this->handle(PeerLost{}); }}),
+      Relay(Context, this->Objects),
       Moves(Context, Settings, Adapter, this->Fleet,
-            [this] { this->scheduleUpdate(); }),
+            {[this] { this->scheduleUpdate(); },
+             [this] { return this->readsStore(); },
+             [this] { return this->rank(); }}),
       Crashes(Context, Settings, Adapter, this->Fleet,
-              [this] { this->scheduleUpdate(); }),
-      Registry(Context, Settings, Adapter, this->Fleet,
-               [this] { this->scheduleUpdate(); }),
-      UpdateTimer(Context) {}
+              {[this] { this->scheduleUpdate(); },
+               [this](KindUpdate Update) { this->onUpdate(std::move(Update)); },
+               [this] { return this->readsStore(); }}),
+      Registry(
+          Context, Settings, Adapter, this->Fleet,
+          {[this](KindUpdate Update) { this->onUpdate(std::move(Update)); },
+           [this](std::vector<PeerNode> Nodes) {
+             this->setPeers(std::move(Nodes));
+           },
+           [this] { return this->readsStore(); }}),
+      SourceTimer(Context), UpdateTimer(Context) {}
 
 void FleetAgent::start() {
-  for (const std::unique_ptr<Feed> &Item : this->Feeds)
-    this->handle(*Item, FeedStarted{});
+  // Without an address for other nodes, there is nothing to follow.
+  if (this->Settings.Peers.Port == 0)
+    this->on(ReadStore{});
   this->Registry.start();
   this->Crashes.start();
 }
 
 void FleetAgent::reload(const NodeSettings &Next) {
-  for (const std::unique_ptr<Feed> &Item : this->Feeds)
-    Item->Channel.setStore(Next.Store);
+  this->Reader.setStore(Next.Store);
   this->Registry.reload(Next);
   this->Moves.reload(Next);
   this->Crashes.reload(Next);
@@ -42,83 +67,107 @@
   this->scheduleUpdate();
 }
 
-void FleetAgent::handle(Feed &From, FeedInput Input) {
-  FeedOutputs Outputs;
-  From.State.handle(std::move(Input), Outputs);
-  for (FeedOutput &Output : Outputs)
-    std::visit([&](auto &Alternative) { this->on(From, Alternative); }, Output);
-  this->scheduleUpdate();
+std::uint32_t FleetAgent::rank() const {
+  return this->Settings.Peers.Port == 0 ? this->Fleet.rank()
+                                        : this->Source.rank();
+}
+
+void FleetAgent::setPeers(std::vector<PeerNode> Nodes) {
+  if (this->Settings.Peers.Port == 0)
+    return;
+  // Entries of releases that do not listen for other nodes have no address.
+  std::erase_if(Nodes, [this](const PeerNode &Node) {
+    return Node.Peers.Port == 0 && Node.Node != this->Settings.Node;
+  });
+  this->handle(PeersListed{std::move(Nodes)});
+  if (!this->Source.isReader() || this->Relay.isListening())
+    return;
+  const Expected<void> Listening = this->Relay.listen(this->Settings.Peers);
+  if (!Listening)
+    logEvent(LogLevel::Error, "feed-relay-not-listening",
+             {{"code", Listening.error().Value},
+              {"detail", Listening.error().Detail}});
 }
 
-void FleetAgent::on(Feed &From, const ListObjects &Output) {
-  From.Channel.call(
-      this->Adapter.ListCall(From.Kind, Output.After),
-      StoreChannel::CallTimeout, [this, &From](Expected<HttpResponse> Result) {
-        this->handle(From, Result ? this->Adapter.ReadPage(*Result)
-                                  : FeedInput(FeedCallFailed{Result.error()}));
-      });
+void FleetAgent::handle(const FeedSourceEvent &Event) {
+  for (const FeedSourceEffect &Effect : this->Source.handle(Event, steadyNow()))
+    std::visit([this](const auto &Body) { this->on(Body); }, Effect);
 }
 
-void FleetAgent::on(Feed &From, const WatchObjects &Output) {
-  From.Channel.call(
-      this->Adapter.WatchCall(From.Kind, Output.Since, WatchWait),
-      WatchWait + StoreChannel::CallTimeout,
-      [this, &From](Expected<HttpResponse> Result) {
-        this->handle(From, Result ? this->Adapter.ReadEvents(*Result)
-                                  : FeedInput(FeedCallFailed{Result.error()}));
-      });
+void FleetAgent::on(const ReadStore &) {
+  logEvent(LogLevel::Info, "store-reading", {});
+  this->ReadingStore.store(true, std::memory_order_relaxed);
+  this->Reader.start(this->Objects);
 }
 
-void FleetAgent::on(Feed &From, const StartFeedTimer &Output) {
-  From.Timer.expires_after(Output.After);
-  From.Timer.async_wait([this, &From](const asio::error_code &Cancelled) {
+void FleetAgent::on(const LeaveStore &) {
+  logEvent(LogLevel::Info, "store-left", {});
+  this->ReadingStore.store(false, std::memory_order_relaxed);
+  this->Reader.stop();
+  this->StoreConnected = false;
+  this->Relay.setState(false, this->UnstableSince);
+}
+
+void FleetAgent::on(const FollowPeer &Effect) {
+  logEvent(LogLevel::Info, "peer-followed", {{"peer", Effect.To.Node.Text}});
+  FeedRequest Request;
+  Request.Node = this->Settings.Node;
+  for (const ObjectKind Kind : RelayedKinds)
+    if (const std::optional<StoreRevision> AsOf = this->Objects.asOf(Kind))
+      Request.Known[Kind] = *AsOf;
+  this->Subscription.open(Effect.To.Peers, Request);
+}
+
+void FleetAgent::on(const LeavePeer &) {
+  logEvent(LogLevel::Info, "peer-left", {});
+  this->Subscription.close();
+}
+
+void FleetAgent::on(const WakeFeedSource &Effect) {
+  this->SourceTimer.expires_at(Effect.At);
+  this->SourceTimer.async_wait([this](const asio::error_code &Cancelled) {
     if (!Cancelled)
-      this->handle(From, FeedTimerExpired{});
+      this->handle(FeedSourceTimeReached{});
   });
 }
 
-void FleetAgent::on(Feed &From, FeedListed &Output) {
-  this->Listed.insert(From.Kind);
-  switch (From.Kind) {
-  case ObjectKind::Configuration:
-    for (const StoredObject &Object : Output.Objects)
-      this->applyConfiguration(Object);
-    return;
-  case ObjectKind::Targets: {
-    std::set<TargetId> Listed;
-    for (const StoredObject &Object : Output.Objects) {
-      Listed.insert(TargetId{Object.Name});
-      this->applyTarget(Object);
-    }
-    this->Fleet.retainTargets(Listed, steadyNow());
-    return;
-  }
-  case ObjectKind::Evacuations: {
-    std::set<DomainName> Domains;
-    for (const StoredObject &Object : Output.Objects)
-      Domains.insert(DomainName{Object.Name});
-    this->Fleet.setEvacuatedDomains(Domains);
-    return;
-  }
-  case ObjectKind::Moves: {
-    std::set<ServiceName> Ordered;
-    for (const StoredObject &Object : Output.Objects) {
-      Ordered.insert(ServiceName{Object.Name});
-      this->applyMove(Object);
-    }
-    this->Moves.retainOrders(Ordered);
-    return;
-  }
-  case ObjectKind::Nodes:
-  case ObjectKind::MoveCounts:
-  case ObjectKind::Crashes:
-    return;
+void FleetAgent::onPeerState(const FeedSourceState &State) {
+  if (State.UnstableFor)
+    this->Fleet.markStoreUnstable(steadyNow() - *State.UnstableFor);
+  this->handle(PeerReported{State.Connected});
+}
+
+void FleetAgent::onStoreConnection() {
+  const bool Connected = this->Reader.isConnected();
+  // The first connection shows no loss.
+  const bool Unstable =
+      Connected != this->StoreConnected && (!Connected || this->UnstableSince);
+  this->StoreConnected = Connected;
+  if (Unstable) {
+    this->UnstableSince = steadyNow();
+    this->Fleet.markStoreUnstable(*this->UnstableSince);
   }
+  this->Relay.setState(Connected, this->UnstableSince);
+}
+
+void FleetAgent::onUpdate(KindUpdate Update) {
+  const ObjectKind Kind = Update.Kind;
+  const std::vector<ObjectChange> Changes =
+      this->Objects.update(std::move(Update));
+  for (const ObjectChange &Change : Changes)
+    this->apply(Kind, Change);
+  if (Kind == ObjectKind::Nodes)
+    this->Registry.setEntries(this->Objects.objects(Kind));
+  else if (Kind == ObjectKind::Crashes)
+    this->Crashes.setRecords(this->Objects.objects(Kind));
+  this->Relay.publish();
+  this->scheduleUpdate();
 }
 
-void FleetAgent::on(Feed &From, FeedChanged &Output) {
-  for (const ObjectChange &Change : Output.Changes)
-    this->apply(From.Kind, Change);
+bool FleetAgent::knowsAllKinds() const {
+  return std::all_of(
+      RequiredKinds.begin(), RequiredKinds.end(),
+      [this](ObjectKind Kind) { return this->Objects.asOf(Kind).has_value(); });
 }
 
 void FleetAgent::apply(ObjectKind Kind, const ObjectChange &Change) {
@@ -192,20 +241,6 @@
   this->Moves.updateOrder(*Read);
 }
 
-void FleetAgent::on(Feed &From, const FeedDisconnected &Output) {
-  this->Fleet.markStoreUnstable(steadyNow());
-  logEvent(LogLevel::Warning, "store-lost",
-           {{"kind", std::string(name(From.Kind))},
-            {"code", Output.Cause.Value},
-            {"detail", Output.Cause.Detail}});
-}
-
-void FleetAgent::on(Feed &From, const FeedReconnected &) {
-  this->Fleet.markStoreUnstable(steadyNow());
-  logEvent(LogLevel::Info, "store-regained",
-           {{"kind", std::string(name(From.Kind))}});
-}
-
 void FleetAgent::scheduleUpdate() {
   const TimePoint Now = steadyNow();
   TimePoint Next = TimePoint::max();
@@ -228,8 +263,7 @@
   this->Fleet.expire(steadyNow());
   if (this->Fleet.changed()) {
     this->View.publish(this->Fleet.build());
-    const bool CanServe =
-        this->Listed.size() == this->Feeds.size() && this->Fleet.canServe();
+    const bool CanServe = this->knowsAllKinds() && this->Fleet.canServe();
     if (CanServe != this->Ready.exchange(CanServe, std::memory_order_relaxed))
       logEvent(LogLevel::Info, CanServe ? "node-ready" : "node-not-ready",
                {{"targets", static_cast<std::int64_t>(this->Fleet.targets())}});
--- a/balsamyard/src/Process/FleetAgent.h
+++ b/balsamyard/src/Process/FleetAgent.h
@@ -1,35 +1,29 @@
 #pragma once
 
-#include "balsamyard/src/Connection/StoreChannel.h"
 #include "balsamyard/src/Process/CrashAgent.h"
 #include "balsamyard/src/Process/Discovery.h"
+#include "balsamyard/src/Process/FeedRelay.h"
+#include "balsamyard/src/Process/FeedSource.h"
+#include "balsamyard/src/Process/FeedSubscription.h"
 #include "balsamyard/src/Process/MoveAgent.h"
 #include "balsamyard/src/Process/NodeRegistry.h"
-#include "balsamyard/src/Process/ObjectFeed.h"
+#include "balsamyard/src/Process/ObjectCache.h"
 #include "balsamyard/src/Process/PlatformAdapter.h"
+#include "balsamyard/src/Process/StoreReader.h"
 #include "balsamyard/src/Version/RcuCell.h"
 
-#include <array>
 #include <asio/steady_timer.hpp>
 #include <atomic>
 #include <functional>
-#include <memory>
-#include <set>
+#include <optional>
 
 namespace balsamyard {
 
-/// \brief Watches the platform's store and publishes the FleetView that
-/// requests read. All members except isReady() run on the control thread.
+/// \brief Follows the state of the platform's store, directly or through
+/// another node, and publishes the FleetView that requests read. All members
+/// except the status functions run on the control thread.
 class FleetAgent {
 public:
-  /// Maximum duration of one watch call. Longer watches cost the store fewer
-  /// calls.
-  static constexpr Duration WatchWait = std::chrono::seconds(30);
-
-  /// Batches the changes of targets, which are frequent when many start. The
-  /// delay is harmless: a leaving target keeps serving for seconds.
-  static constexpr Duration TargetWatchDelay = std::chrono::milliseconds(300);
-
   /// Batches changes that arrive together into one published view.
   static constexpr Duration PublishDelay = std::chrono::milliseconds(5);
 
@@ -39,6 +33,9 @@
 
   void start();
 
+  /// \brief Sends the followers to other nodes.
+  void beginStop() { this->Relay.stop(); }
+
   /// \brief Applies reloaded settings.
   void reload(const NodeSettings &Settings);
 
@@ -48,32 +45,32 @@
   /// \returns whether requests can be served. Thread-safe.
   bool isReady() const { return this->Ready.load(std::memory_order_relaxed); }
 
+  /// \returns whether this node reads the store itself. Thread-safe.
+  bool readsStore() const {
+    return this->ReadingStore.load(std::memory_order_relaxed);
+  }
+
+  /// \returns the number of nodes that follow this one.
+  std::size_t followers() const { return this->Relay.followers(); }
+
 private:
-  struct Feed {
-    Feed(asio::io_context &Context, ObjectKind Kind, Duration WatchDelay,
-         const Endpoint &Store)
-        : Kind(Kind), State(WatchDelay), Channel(Context, Store),
-          Timer(Context) {}
-
-    const ObjectKind Kind;
-    ObjectFeed State;
-    StoreChannel Channel;
-    asio::steady_timer Timer;
-  };
-
-  void handle(Feed &From, FeedInput Input);
-  void on(Feed &From, const ListObjects &Output);
-  void on(Feed &From, const WatchObjects &Output);
-  void on(Feed &From, const StartFeedTimer &Output);
-  void on(Feed &From, FeedListed &Output);
-  void on(Feed &From, FeedChanged &Output);
-  void on(Feed &From, const FeedDisconnected &Output);
-  void on(Feed &From, const FeedReconnected &Output);
+  void onUpdate(KindUpdate Update);
+  void onPeerState(const FeedSourceState &State);
+  void onStoreConnection();
+  void setPeers(std::vector<PeerNode> Nodes);
+  void handle(const FeedSourceEvent &Event);
+  void on(const ReadStore &Effect);
+  void on(const LeaveStore &Effect);
+  void on(const FollowPeer &Effect);
+  void on(const LeavePeer &Effect);
+  void on(const WakeFeedSource &Effect);
 
   void apply(ObjectKind Kind, const ObjectChange &Change);
   void applyConfiguration(const StoredObject &Object);
   void applyTarget(const StoredObject &Object);
   void applyMove(const StoredObject &Object);
+  bool knowsAllKinds() const;
+  std::uint32_t rank() const;
   void scheduleUpdate();
   void update();
 
@@ -82,16 +79,21 @@
   RcuCell<FleetView> &View;
   const std::function<void()> OnPublished;
   Discovery Fleet;
-  std::array<std::unique_ptr<Feed>, 4> Feeds;
+  ObjectCache Objects;
+  FeedSource Source;
+  StoreReader Reader;
+  FeedSubscription Subscription;
+  FeedRelay Relay;
   MoveAgent Moves;
   CrashAgent Crashes;
   NodeRegistry Registry;
+  asio::steady_timer SourceTimer;
   asio::steady_timer UpdateTimer;
   TimePoint UpdateAt = TimePoint::max();
-  /// Kinds of objects that were listed at least once. The node is not ready
-  /// before all are, as it could send requests to evacuated targets.
-  std::set<ObjectKind> Listed;
+  bool StoreConnected = false;            ///< This node reads the store.
+  std::optional<TimePoint> UnstableSince; ///< Last loss or return of the store.
   std::atomic<bool> Ready{false};
+  std::atomic<bool> ReadingStore{false};
 };
 
 } // namespace balsamyard
--- a/balsamyard/src/Process/MoveAgent.cpp
+++ b/balsamyard/src/Process/MoveAgent.cpp
@@ -29,9 +29,9 @@
 
 MoveAgent::MoveAgent(asio::io_context &Context, const NodeSettings &Settings,
                      const PlatformAdapter &Adapter, Discovery &Fleet,
-                     std::function<void()> OnChanged)
+                     Handlers Events)
     : Self(Settings.Node), BadVersionShare(Settings.Bounds.BadVersionShare),
-      Adapter(Adapter), Fleet(Fleet), OnChanged(std::move(OnChanged)),
+      Adapter(Adapter), Fleet(Fleet), Events(std::move(Events)),
       Incarnation(std::random_device()()), Calls(Context, Settings.Store),
       Timer(Context) {}
 
@@ -79,16 +79,7 @@
   }
   this->Moves.erase(Found);
   this->Fleet.setMove(Service, nullptr);
-  this->OnChanged();
-}
-
-void MoveAgent::retainOrders(const std::set<ServiceName> &Ordered) {
-  std::vector<ServiceName> Former;
-  for (const auto &[Service, Move] : this->Moves)
-    if (!Ordered.contains(Service))
-      Former.push_back(Service);
-  for (const ServiceName &Service : Former)
-    this->removeOrder(Service);
+  this->Events.OnChanged();
 }
 
 void MoveAgent::tick() {
@@ -116,14 +107,16 @@
   this->apply(
       Service, Move,
       MoveTimePassed{this->Fleet.serves(Service, Move.Decisions.order().To),
-                     this->Fleet.rank()});
+                     this->Events.Rank()});
   this->publishShare(Service, Move);
   if (!Move.Decisions.isUnderWay())
     return;
   this->shareCounts(Service, Move);
+  if (!this->Events.ReadsStore())
+    return;
   const TimePoint Now = steadyNow();
   const Duration Interval =
-      ReadInterval + ReadIntervalPerRank * this->Fleet.rank();
+      ReadInterval + ReadIntervalPerRank * this->Events.Rank();
   if (Now - Move.ReadAt >= Interval) {
     Move.ReadAt = Now;
     this->readCounts(Service, {});
@@ -155,7 +148,7 @@
             {"new_bad",
              static_cast<std::int64_t>(badAnswers(Move.Traffic->tally()))}});
   this->Fleet.setMove(Service, Move.Traffic);
-  this->OnChanged();
+  this->Events.OnChanged();
 }
 
 void MoveAgent::write(const ServiceName &Service,
--- a/balsamyard/src/Process/MoveAgent.h
+++ b/balsamyard/src/Process/MoveAgent.h
@@ -9,7 +9,6 @@
 #include <functional>
 #include <map>
 #include <optional>
-#include <set>
 
 namespace balsamyard {
 
@@ -39,10 +38,19 @@
   static constexpr Duration ReadIntervalPerRank =
       std::chrono::milliseconds(750);
 
-  /// \p OnChanged is called when \p Fleet has changed.
+  struct Handlers {
+    std::function<void()> OnChanged; ///< The view of the fleet has changed.
+
+    /// \returns whether this node reads the store. Only such nodes read the
+    /// counts of the others; a node that follows one learns of each step.
+    std::function<bool()> ReadsStore;
+
+    /// \returns the position of this node in the order in which nodes act.
+    std::function<std::uint32_t()> Rank;
+  };
+
   MoveAgent(asio::io_context &Context, const NodeSettings &Settings,
-            const PlatformAdapter &Adapter, Discovery &Fleet,
-            std::function<void()> OnChanged);
+            const PlatformAdapter &Adapter, Discovery &Fleet, Handlers Events);
 
   /// \brief Applies reloaded settings.
   void reload(const NodeSettings &Settings);
@@ -53,9 +61,6 @@
   /// \brief Handles the removal of an order.
   void removeOrder(const ServiceName &Service);
 
-  /// \brief Removes every order that is not in \p Ordered.
-  void retainOrders(const std::set<ServiceName> &Ordered);
-
 private:
   struct Entry {
     Entry(ServiceMove Decisions, Ref<MoveTraffic> Traffic)
@@ -86,7 +91,7 @@
   double BadVersionShare;
   const PlatformAdapter &Adapter;
   Discovery &Fleet;
-  const std::function<void()> OnChanged;
+  const Handlers Events;
   const std::uint64_t Incarnation;
   StoreCallQueue Calls;
   asio::steady_timer Timer;
--- a/balsamyard/src/Process/Node.cpp
+++ b/balsamyard/src/Process/Node.cpp
@@ -197,6 +197,9 @@
   ProcessMetrics.set("node_ready", "", this->isReady() ? 1 : 0);
   ProcessMetrics.set("requests_in_flight", "", this->InFlight.load());
   ProcessMetrics.set("nodes_counted", "", Current->Shares.Nodes);
+  ProcessMetrics.set("store_read", "", this->Agent.readsStore() ? 1 : 0);
+  ProcessMetrics.set("followers", "",
+                     static_cast<double>(this->Agent.followers()));
   ProcessMetrics.set("log_lines_dropped_total", "",
                      static_cast<double>(droppedLogLines()));
   if (Current->Config)
@@ -267,6 +270,7 @@
   this->Stopping = true;
   this->StopBegan = steadyNow();
   logEvent(LogLevel::Info, "node-stopping", {});
+  this->Agent.beginStop();
   for (const auto &Worker : this->Workers)
     Worker->beginStop();
   this->checkStop();
--- a/balsamyard/src/Process/NodeRegistry.cpp
+++ b/balsamyard/src/Process/NodeRegistry.cpp
@@ -2,17 +2,73 @@
 
 #include "balsamyard/src/Core/Log.h"
 
+#include <charconv>
 #include <random>
+#include <utility>
 
 namespace balsamyard {
 
+namespace {
+
+/// Separates the failure domain from the node in the name of an entry.
+constexpr char EntrySeparator = '.';
+
+std::string textField(const nlohmann::json &Content, const char *Name,
+                      const std::string &Default = {}) {
+  if (!Content.is_object())
+    return Default;
+  const auto Found = Content.find(Name);
+  return Found != Content.end() && Found->is_string()
+             ? Found->get<std::string>()
+             : Default;
+}
+
+/// \returns the endpoint in "ADDRESS:PORT", or one with port 0.
+Endpoint readEndpoint(const std::string &Text) {
+  Endpoint Result;
+  const std::size_t Colon = Text.rfind(':');
+  if (Colon == std::string::npos)
+    return Result;
+  const char *Last = Text.data() + Text.size();
+  const auto Read = std::from_chars(Text.data() + Colon + 1, Last, Result.Port);
+  if (Read.ec != std::errc() || Read.ptr != Last)
+    return {};
+  Result.Address = Text.substr(0, Colon);
+  return Result;
+}
+
+std::uint64_t heartbeatOf(const StoredObject &Object) {
+  if (!Object.Content.is_object())
+    return 0;
+  const auto Found = Object.Content.find("heartbeat");
+  return Found != Object.Content.end() && Found->is_number_unsigned()
+             ? Found->get<std::uint64_t>()
+             : 0;
+}
+
+} // namespace
+
+std::string nodeEntryName(const DomainName &Domain, const NodeName &Node) {
+  return Domain.Text + EntrySeparator + Node.Text;
+}
+
+PeerNode readNodeEntry(const StoredObject &Object) {
+  PeerNode Result;
+  Result.Node.Text = textField(Object.Content, "node", Object.Name);
+  Result.Domain.Text = textField(Object.Content, "domain");
+  Result.Peers = readEndpoint(textField(Object.Content, "peers"));
+  return Result;
+}
+
 NodeRegistry::NodeRegistry(asio::io_context &Context,
                            const NodeSettings &Settings,
                            const PlatformAdapter &Adapter, Discovery &Fleet,
-                           std::function<void()> OnChanged)
-    : Self(Settings.Node), Domain(Settings.Domain), Adapter(Adapter),
-      Fleet(Fleet), OnChanged(std::move(OnChanged)), Entries(Settings.Node),
-      Calls(Context, Settings.Store), Timer(Context),
+                           Handlers Events)
+    : Self(Settings.Node), Domain(Settings.Domain), Peers(Settings.Peers),
+      FirstStart(Settings.FirstStart),
+      EntryName(nodeEntryName(Settings.Domain, Settings.Node)),
+      Adapter(Adapter), Fleet(Fleet), Events(std::move(Events)),
+      Entries(Settings.Node), Calls(Context, Settings.Store), Timer(Context),
       // A restarted process must not repeat a heartbeat of the former process.
       Heartbeat(std::uint64_t(std::random_device()()) << 20) {}
 
@@ -21,7 +77,10 @@
 }
 
 nlohmann::json NodeRegistry::content() const {
-  return {{"domain", this->Domain.Text}, {"heartbeat", this->Heartbeat}};
+  return {{"node", this->Self.Text},
+          {"domain", this->Domain.Text},
+          {"peers", toText(this->Peers)},
+          {"heartbeat", this->Heartbeat}};
 }
 
 void NodeRegistry::scheduleAfter(Duration Time, void (NodeRegistry::*Next)()) {
@@ -33,95 +92,130 @@
 }
 
 void NodeRegistry::registerNode() {
+  this->RenewedAt = steadyNow();
   this->Calls.call(
-      this->Adapter.CreateCall(ObjectKind::Nodes, this->Self.Text,
+      this->Adapter.CreateCall(ObjectKind::Nodes, this->EntryName,
                                this->content()),
       [this](const Expected<HttpResponse> &Result) {
-        // A former process of this node registered it, so this is a restart
-        // and the other nodes are already running.
+        // A former process of this node registered it.
         const bool WasRegistered =
             Result && Result->Status == StoreChannel::ConflictStatus;
-        if (WasRegistered || hasSuccessStatus(Result)) {
-          this->StartupCounted = WasRegistered;
-          if (WasRegistered)
-            this->countNodes();
-          else
-            this->scheduleAfter(FirstCountDelay, &NodeRegistry::countNodes);
+        if (!WasRegistered && !hasSuccessStatus(Result)) {
+          logEvent(LogLevel::Warning, "node-not-registered",
+                   {{"detail", describeResult(Result)}});
+          this->scheduleAfter(ObjectFeed::MaxBackoff,
+                              &NodeRegistry::registerNode);
           return;
         }
-        logEvent(LogLevel::Warning, "node-not-registered",
-                 {{"detail", describeResult(Result)}});
-        this->scheduleAfter(ObjectFeed::MaxBackoff,
-                            &NodeRegistry::registerNode);
+        // The other nodes are registering at the same time if all start.
+        if (this->FirstStart && !WasRegistered)
+          this->scheduleAfter(FirstListDelay, &NodeRegistry::findReaders);
+        else
+          this->findReaders();
       });
 }
 
+void NodeRegistry::findReaders() {
+  this->Calls.call(this->Adapter.StaleListCall(
+                       ObjectKind::Nodes, this->Domain.Text + EntrySeparator),
+                   [this](const Expected<HttpResponse> &Result) {
+                     const FeedInput Read =
+                         Result ? this->Adapter.ReadPage(*Result)
+                                : FeedInput(FeedCallFailed{Result.error()});
+                     const auto *Page = std::get_if<FeedPage>(&Read);
+                     if (Page == nullptr) {
+                       logEvent(LogLevel::Warning, "nodes-not-read",
+                                {{"detail", describeResult(Result)}});
+                       this->scheduleAfter(ObjectFeed::MaxBackoff,
+                                           &NodeRegistry::findReaders);
+                       return;
+                     }
+                     std::vector<PeerNode> Found;
+                     for (const StoredObject &Object : Page->Objects)
+                       Found.push_back(readNodeEntry(Object));
+                     this->Events.OnPeers(std::move(Found));
+                     this->maintain();
+                   });
+}
+
+void NodeRegistry::maintain() {
+  if (steadyNow() - this->RenewedAt >= RenewInterval)
+    this->renewEntry();
+  if (this->Events.ReadsStore())
+    this->readPage({});
+  this->scheduleAfter(this->Recounted ? RecountInterval : FirstRecountDelay,
+                      &NodeRegistry::maintain);
+  this->Recounted = true;
+}
+
 void NodeRegistry::renewEntry() {
+  this->RenewedAt = steadyNow();
   ++this->Heartbeat;
-  this->Calls.call(this->Adapter.ReplaceCall(ObjectKind::Nodes, this->Self.Text,
+  this->Calls.call(this->Adapter.ReplaceCall(ObjectKind::Nodes, this->EntryName,
                                              this->content()),
                    [this](const Expected<HttpResponse> &Result) {
                      if (Result &&
-                         Result->Status == StoreChannel::NotFoundStatus) {
+                         Result->Status == StoreChannel::NotFoundStatus)
                        this->registerNode();
-                       return;
-                     }
-                     if (!hasSuccessStatus(Result))
+                     else if (!hasSuccessStatus(Result))
                        logEvent(LogLevel::Warning, "node-not-renewed",
                                 {{"detail", describeResult(Result)}});
-                     this->countNodes();
                    });
 }
 
 void NodeRegistry::readPage(const std::string &After) {
   if (After.empty())
-    this->Heartbeats.clear();
-  this->Calls.call(this->Adapter.StaleListCall(ObjectKind::Nodes, After),
-                   [this](const Expected<HttpResponse> &Result) {
-                     const FeedInput Read =
-                         Result ? this->Adapter.ReadPage(*Result)
+    this->Listing = {ObjectKind::Nodes, true, {}, {}};
+  this->Calls.call(
+      this->Adapter.StaleListCall(ObjectKind::Nodes, After),
+      [this](const Expected<HttpResponse> &Result) {
+        FeedInput Read = Result ? this->Adapter.ReadPage(*Result)
                                 : FeedInput(FeedCallFailed{Result.error()});
-                     const auto *Page = std::get_if<FeedPage>(&Read);
-                     if (Page == nullptr) {
-                       logEvent(LogLevel::Warning, "nodes-not-counted",
-                                {{"detail", describeResult(Result)}});
-                       this->scheduleAfter(ObjectFeed::MaxBackoff,
-                                           &NodeRegistry::countNodes);
-                       return;
-                     }
-                     for (const StoredObject &Object : Page->Objects)
-                       this->Heartbeats[NodeName{Object.Name}] =
-                           Object.Content.is_object()
-                               ? Object.Content.value("heartbeat",
-                                                      std::uint64_t(0))
-                               : 0;
-                     if (Page->HasMore && !Page->Objects.empty())
-                       this->readPage(Page->Objects.back().Name);
-                     else
-                       this->onListRead();
-                   });
+        auto *Page = std::get_if<FeedPage>(&Read);
+        if (Page == nullptr) {
+          logEvent(LogLevel::Warning, "nodes-not-counted",
+                   {{"detail", describeResult(Result)}});
+          this->scheduleAfter(ObjectFeed::MaxBackoff, &NodeRegistry::maintain);
+          return;
+        }
+        if (this->Listing.Changes.empty())
+          this->Listing.AsOf = Page->AsOf;
+        for (StoredObject &Object : Page->Objects)
+          this->Listing.Changes.push_back({std::move(Object), false});
+        if (Page->HasMore && !this->Listing.Changes.empty())
+          this->readPage(this->Listing.Changes.back().Object.Name);
+        else
+          this->Events.OnListed(std::exchange(this->Listing, {}));
+      });
 }
 
-void NodeRegistry::onListRead() {
+void NodeRegistry::setEntries(const std::vector<StoredObject> &Listed) {
+  std::map<NodeName, std::uint64_t> Heartbeats;
+  std::map<NodeName, std::string> EntryNames;
+  std::vector<PeerNode> Found;
+  for (const StoredObject &Object : Listed) {
+    Found.push_back(readNodeEntry(Object));
+    Heartbeats[Found.back().Node] = heartbeatOf(Object);
+    EntryNames[Found.back().Node] = Object.Name;
+  }
   const TimePoint Now = steadyNow();
-  this->Entries.update(this->Heartbeats, Now);
+  this->Entries.update(Heartbeats, Now);
   this->Fleet.setNodes(this->Entries.nodes());
-  this->OnChanged();
-  for (const NodeName &Expired : this->Entries.expired(Now)) {
-    logEvent(LogLevel::Info, "node-entry-expired", {{"name", Expired.Text}});
-    this->Calls.call(this->Adapter.RemoveCall(ObjectKind::Nodes, Expired.Text),
-                     [Expired](const Expected<HttpResponse> &Result) {
-                       if (!hasSuccessStatus(Result))
-                         logEvent(LogLevel::Warning, "node-entry-not-removed",
-                                  {{"name", Expired.Text},
-                                   {"detail", describeResult(Result)}});
-                     });
-  }
-  if (this->StartupCounted)
-    this->scheduleAfter(RecountInterval, &NodeRegistry::renewEntry);
-  else
-    this->scheduleAfter(FirstRecountDelay, &NodeRegistry::countNodes);
-  this->StartupCounted = true;
+  this->Events.OnPeers(std::move(Found));
+  if (this->Events.ReadsStore())
+    for (const NodeName &Expired : this->Entries.expired(Now))
+      this->removeEntry(EntryNames[Expired]);
+}
+
+void NodeRegistry::removeEntry(const std::string &Name) {
+  logEvent(LogLevel::Info, "node-entry-expired", {{"name", Name}});
+  this->Calls.call(
+      this->Adapter.RemoveCall(ObjectKind::Nodes, Name),
+      [Name](const Expected<HttpResponse> &Result) {
+        if (!hasSuccessStatus(Result))
+          logEvent(LogLevel::Warning, "node-entry-not-removed",
+                   {{"name", Name}, {"detail", describeResult(Result)}});
+      });
 }
 
 } // namespace balsamyard
--- a/balsamyard/src/Process/NodeRegistry.h
+++ b/balsamyard/src/Process/NodeRegistry.h
@@ -2,7 +2,9 @@
 
 #include "balsamyard/src/Connection/StoreCallQueue.h"
 #include "balsamyard/src/Process/Discovery.h"
+#include "balsamyard/src/Process/FeedSource.h"
 #include "balsamyard/src/Process/NodeEntries.h"
+#include "balsamyard/src/Process/ObjectCache.h"
 #include "balsamyard/src/Process/PlatformAdapter.h"
 
 #include <asio/steady_timer.hpp>
@@ -10,47 +12,78 @@
 
 namespace balsamyard {
 
-/// \brief Maintains the entry of this node in the store and counts the nodes,
-/// which share the limits of the deployment. Runs on the control thread.
+/// \brief Maintains the entry of this node in the store, finds the nodes that
+/// others may follow, and counts the nodes, which share the limits of the
+/// deployment. Runs on the control thread.
 class NodeRegistry {
 public:
-  /// Nodes that start together register within a second or two, and the stale
-  /// read that counts them may be seconds old, so the first count is delayed
-  /// and soon repeated. Later counts pick up changes of the fleet.
-  static constexpr Duration FirstCountDelay = std::chrono::seconds(4);
+  /// When the whole system starts, nodes register within a second or two, and
+  /// the stale read that lists them may be seconds old, so the first list is
+  /// delayed and soon repeated. Later lists pick up changes of the fleet.
+  static constexpr Duration FirstListDelay = std::chrono::seconds(4);
   static constexpr Duration FirstRecountDelay = std::chrono::seconds(4);
-  static constexpr Duration RecountInterval = std::chrono::seconds(60);
+  static constexpr Duration RecountInterval = std::chrono::seconds(15);
+
+  /// How often the heartbeat in the entry of this node changes.
+  static constexpr Duration RenewInterval = std::chrono::seconds(60);
+
+  struct Handlers {
+    /// All entries were read from the store.
+    std::function<void(KindUpdate)> OnListed;
+
+    /// Nodes that may be followed. At the start only those near the own entry
+    /// in the list are known.
+    std::function<void(std::vector<PeerNode>)> OnPeers;
+
+    /// \returns whether this node reads the store. Otherwise it gets the list
+    /// from the node that it follows.
+    std::function<bool()> ReadsStore;
+  };
 
-  /// \p OnChanged is called when \p Fleet has changed.
   NodeRegistry(asio::io_context &Context, const NodeSettings &Settings,
                const PlatformAdapter &Adapter, Discovery &Fleet,
-               std::function<void()> OnChanged);
+               Handlers Events);
 
   void start() { this->registerNode(); }
 
   /// \brief Applies reloaded settings.
   void reload(const NodeSettings &Settings);
 
+  /// \brief Applies the complete list of entries.
+  void setEntries(const std::vector<StoredObject> &Listed);
+
 private:
   nlohmann::json content() const;
   void registerNode();
   void renewEntry();
+  void findReaders();
+  void maintain();
   void readPage(const std::string &After);
-  void onListRead();
+  void removeEntry(const std::string &Name);
   void scheduleAfter(Duration Time, void (NodeRegistry::*Next)());
-  void countNodes() { this->readPage({}); }
 
   const NodeName Self;
   const DomainName Domain;
+  const Endpoint Peers;
+  const bool FirstStart;
+  const std::string EntryName;
   const PlatformAdapter &Adapter;
   Discovery &Fleet;
-  const std::function<void()> OnChanged;
+  const Handlers Events;
   NodeEntries Entries;
   StoreCallQueue Calls;
   asio::steady_timer Timer;
   std::uint64_t Heartbeat;
-  std::map<NodeName, std::uint64_t> Heartbeats; ///< Of the pages read so far.
-  bool StartupCounted = false; ///< Nodes that started together are counted.
+  TimePoint RenewedAt{};
+  KindUpdate Listing;     ///< The pages read so far.
+  bool Recounted = false; ///< Nodes that started together are counted.
 };
 
+/// \returns the name of the stored entry of a node. Entries of one failure
+/// domain are listed together.
+std::string nodeEntryName(const DomainName &Domain, const NodeName &Node);
+
+/// \returns the node in a stored entry.
+PeerNode readNodeEntry(const StoredObject &Object);
+
 } // namespace balsamyard
--- a/balsamyard/src/Process/NodeSettings.h
+++ b/balsamyard/src/Process/NodeSettings.h
@@ -41,8 +41,10 @@
   Endpoint Callers;   ///< Listens for callers.
   Endpoint Readiness; ///< Listens for readiness checks of the load balancer.
   Endpoint Store;
+  Endpoint Peers; ///< Listens for other nodes; port 0 disables it.
   std::uint16_t MetricsPort = 0; ///< On the address for callers; 0 disables.
   std::uint32_t Cores = 1;
+  bool FirstStart = false; ///< The whole system starts for the first time.
   FleetBounds Bounds;
 };
 
--- a/balsamyard/src/Process/ObjectFeed.cpp
+++ b/balsamyard/src/Process/ObjectFeed.cpp
@@ -9,8 +9,15 @@
   std::visit([&](auto &Alternative) { this->on(Alternative, Outputs); }, Input);
 }
 
-void ObjectFeed::on(const FeedStarted &, FeedOutputs &Outputs) {
-  this->restart(Outputs);
+void ObjectFeed::on(const FeedStarted &Input, FeedOutputs &Outputs) {
+  if (!Input.Since) {
+    this->restart(Outputs);
+    return;
+  }
+  this->Watching = true;
+  this->Since = *Input.Since;
+  this->NextWatchDelay = this->WatchDelay;
+  Outputs.push_back(WatchObjects{this->Since});
 }
 
 void ObjectFeed::restart(FeedOutputs &Outputs) {
@@ -40,14 +47,19 @@
   this->Since = this->ListedAt;
   this->onCallSucceeded(Outputs);
   this->NextWatchDelay = this->WatchDelay;
-  Outputs.push_back(FeedListed{std::exchange(this->Listed, {})});
+  Outputs.push_back(
+      FeedListed{std::exchange(this->Listed, {}), this->ListedAt});
   Outputs.push_back(WatchObjects{this->Since});
 }
 
 void ObjectFeed::on(FeedEvents &Input, FeedOutputs &Outputs) {
+  const bool Quiet = Input.Changes.empty();
+  const bool Advanced = Input.AsOf > this->Since;
   this->Since = std::max(this->Since, Input.AsOf);
   this->onCallSucceeded(Outputs);
-  if (Input.Changes.empty() || this->WatchDelay == Duration::zero()) {
+  if (Advanced || !Quiet)
+    Outputs.push_back(FeedChanged{std::move(Input.Changes), this->Since});
+  if (Quiet || this->WatchDelay == Duration::zero()) {
     this->NextWatchDelay = this->WatchDelay;
     Outputs.push_back(WatchObjects{this->Since});
   } else {
@@ -55,8 +67,6 @@
     // Poll less often while objects change continuously.
     this->NextWatchDelay = std::min(2 * this->NextWatchDelay, MaxWatchDelay);
   }
-  if (!Input.Changes.empty())
-    Outputs.push_back(FeedChanged{std::move(Input.Changes)});
 }
 
 void ObjectFeed::on(const FeedHistoryExpired &, FeedOutputs &Outputs) {
--- a/balsamyard/src/Process/ObjectFeed.h
+++ b/balsamyard/src/Process/ObjectFeed.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -26,8 +27,11 @@
   bool Removed = false;
 };
 
-/// \brief Starts the feed.
-struct FeedStarted {};
+/// \brief Starts the feed. Objects that are known up to Since are only watched
+/// for changes.
+struct FeedStarted {
+  std::optional<StoreRevision> Since;
+};
 
 /// \brief A page of the list of all objects of the kind.
 struct FeedPage {
@@ -75,11 +79,14 @@
 /// \brief All pages of the list were read.
 struct FeedListed {
   std::vector<StoredObject> Objects;
+  StoreRevision AsOf{}; ///< Every change up to this revision is included.
 };
 
-/// \brief Objects changed, in the order given.
+/// \brief Objects changed, in the order given. Without changes, the revision
+/// has advanced.
 struct FeedChanged {
   std::vector<ObjectChange> Changes;
+  StoreRevision AsOf{}; ///< Every change up to this revision is included.
 };
 
 /// \brief The store is unreachable. Objects that were read may be out of date.
--- /dev/null
+++ b/balsamyard/src/Process/StoreReader.cpp
@@ -0,0 +1,174 @@
+#include "balsamyard/src/Process/StoreReader.h"
+
+#include "balsamyard/src/Core/Log.h"
+
+#include <algorithm>
+#include <random>
+#include <utility>
+
+namespace balsamyard {
+
+namespace {
+
+Duration watchDelay(ObjectKind Kind) {
+  return Kind == ObjectKind::Targets ? StoreReader::TargetWatchDelay
+                                     : Duration::zero();
+}
+
+} // namespace
+
+StoreReader::Feed::Feed(asio::io_context &Context, ObjectKind Kind,
+                        const Endpoint &Store)
+    : Kind(Kind), State(watchDelay(Kind)), Channel(Context, Store),
+      Timer(Context) {}
+
+StoreReader::StoreReader(asio::io_context &Context,
+                         const NodeSettings &Settings,
+                         const PlatformAdapter &Adapter, Handlers Events)
+    : Context(Context), Store(Settings.Store), Adapter(Adapter),
+      Events(std::move(Events)), Probe(std::random_device()()),
+      ProbeChannel(Context, Settings.Store), ProbeTimer(Context) {}
+
+StoreReader::~StoreReader() { this->stop(); }
+
+void StoreReader::start(const ObjectCache &Known) {
+  for (const ObjectKind Kind : {ObjectKind::Configuration, ObjectKind::Targets,
+                                ObjectKind::Evacuations, ObjectKind::Moves})
+    this->Feeds.push_back(
+        std::make_unique<Feed>(this->Context, Kind, this->Store));
+  for (const std::unique_ptr<Feed> &Item : this->Feeds) {
+    const std::optional<StoreRevision> Since = Known.asOf(Item->Kind);
+    Item->Listed = Since.has_value();
+    this->handle(*Item, FeedStarted{Since});
+  }
+  this->Events.OnConnection();
+}
+
+void StoreReader::stop() {
+  for (const std::unique_ptr<Feed> &Item : this->Feeds)
+    Item->Channel.cancel();
+  this->Feeds.clear();
+  this->ProbeChannel.cancel();
+  this->ProbeTimer.cancel();
+  this->Probe.probeSucceeded(steadyNow());
+}
+
+void StoreReader::setStore(const Endpoint &Next) {
+  this->Store = Next;
+  this->ProbeChannel.setStore(Next);
+  for (const std::unique_ptr<Feed> &Item : this->Feeds)
+    Item->Channel.setStore(Next);
+}
+
+bool StoreReader::isConnected() const {
+  return !this->Feeds.empty() && !this->Probe.isLost() &&
+         std::all_of(this->Feeds.begin(), this->Feeds.end(),
+                     [](const auto &Item) { return Item->Listed; });
+}
+
+void StoreReader::handle(Feed &From, FeedInput Input) {
+  FeedOutputs Outputs;
+  const bool Failed = std::holds_alternative<FeedCallFailed>(Input);
+  From.State.handle(std::move(Input), Outputs);
+  if (Failed)
+    if (const std::optional<Duration> Pause =
+            this->Probe.callFailed(steadyNow())) {
+      this->scheduleProbe(*Pause);
+      this->Events.OnConnection();
+    }
+  for (FeedOutput &Output : Outputs)
+    std::visit([&](auto &Alternative) { this->on(From, Alternative); }, Output);
+}
+
+void StoreReader::on(Feed &From, const ListObjects &Output) {
+  From.Channel.call(
+      this->Adapter.ListCall(From.Kind, Output.After),
+      StoreChannel::CallTimeout, [this, &From](Expected<HttpResponse> Result) {
+        this->handle(From, Result ? this->Adapter.ReadPage(*Result)
+                                  : FeedInput(FeedCallFailed{Result.error()}));
+      });
+}
+
+void StoreReader::on(Feed &From, const WatchObjects &Output) {
+  From.Channel.call(
+      this->Adapter.WatchCall(From.Kind, Output.Since, WatchWait),
+      WatchWait + StoreChannel::CallTimeout,
+      [this, &From](Expected<HttpResponse> Result) {
+        this->handle(From, Result ? this->Adapter.ReadEvents(*Result)
+                                  : FeedInput(FeedCallFailed{Result.error()}));
+      });
+}
+
+void StoreReader::on(Feed &From, const StartFeedTimer &Output) {
+  From.Timer.expires_after(Output.After);
+  From.Timer.async_wait([this, &From](const asio::error_code &Cancelled) {
+    if (Cancelled)
+      return;
+    if (this->Probe.isLost())
+      From.Waiting = true;
+    else
+      this->handle(From, FeedTimerExpired{});
+  });
+}
+
+void StoreReader::on(Feed &From, FeedListed &Output) {
+  KindUpdate Update;
+  Update.Kind = From.Kind;
+  Update.Complete = true;
+  Update.AsOf = Output.AsOf;
+  for (StoredObject &Object : Output.Objects)
+    Update.Changes.push_back({std::move(Object), false});
+  this->Events.OnUpdate(std::move(Update));
+  if (!std::exchange(From.Listed, true))
+    this->Events.OnConnection();
+}
+
+void StoreReader::on(Feed &From, FeedChanged &Output) {
+  KindUpdate Update;
+  Update.Kind = From.Kind;
+  Update.AsOf = Output.AsOf;
+  Update.Changes = std::move(Output.Changes);
+  this->Events.OnUpdate(std::move(Update));
+}
+
+void StoreReader::on(Feed &From, const FeedDisconnected &Output) {
+  logEvent(LogLevel::Warning, "store-lost",
+           {{"kind", std::string(name(From.Kind))},
+            {"code", Output.Cause.Value},
+            {"detail", Output.Cause.Detail}});
+}
+
+void StoreReader::on(Feed &From, const FeedReconnected &) {
+  logEvent(LogLevel::Info, "store-regained",
+           {{"kind", std::string(name(From.Kind))}});
+}
+
+void StoreReader::scheduleProbe(Duration After) {
+  this->ProbeTimer.expires_after(After);
+  this->ProbeTimer.async_wait([this](const asio::error_code &Cancelled) {
+    if (!Cancelled)
+      this->probe();
+  });
+}
+
+void StoreReader::probe() {
+  this->ProbeChannel.call(
+      this->Adapter.StaleListCall(ObjectKind::Evacuations, {}),
+      StoreChannel::CallTimeout,
+      [this](const Expected<HttpResponse> &Result) { this->onProbe(Result); });
+}
+
+void StoreReader::onProbe(const Expected<HttpResponse> &Result) {
+  if (!Result || Result->Status / 100 != 2) {
+    this->scheduleProbe(this->Probe.probeFailed());
+    return;
+  }
+  this->Probe.probeSucceeded(steadyNow());
+  logEvent(LogLevel::Info, "store-answers", {});
+  this->Events.OnConnection();
+  for (const std::unique_ptr<Feed> &Item : this->Feeds)
+    if (std::exchange(Item->Waiting, false))
+      this->handle(*Item, FeedTimerExpired{});
+}
+
+} // namespace balsamyard
--- /dev/null
+++ b/balsamyard/src/Process/StoreReader.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "balsamyard/src/Connection/StoreChannel.h"
+#include "balsamyard/src/Process/NodeSettings.h"
+#include "balsamyard/src/Process/ObjectCache.h"
+#include "balsamyard/src/Process/ObjectFeed.h"
+#include "balsamyard/src/Process/PlatformAdapter.h"
+#include "balsamyard/src/Process/StoreProbe.h"
+
+#include <asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <vector>
+
+namespace balsamyard {
+
+/// \brief Lists and watches the objects of the platform's store that concern
+/// all nodes. Runs on the control thread.
+class StoreReader {
+public:
+  /// Maximum duration of one watch call. Longer watches cost the store fewer
+  /// calls.
+  static constexpr Duration WatchWait = std::chrono::seconds(30);
+
+  /// Batches the changes of targets, which are frequent when many start. The
+  /// delay is harmless: a leaving target keeps serving for seconds.
+  static constexpr Duration TargetWatchDelay = std::chrono::milliseconds(300);
+
+  struct Handlers {
+    std::function<void(KindUpdate)> OnUpdate;
+
+    /// The store was lost or regained.
+    std::function<void()> OnConnection;
+  };
+
+  StoreReader(asio::io_context &Context, const NodeSettings &Settings,
+              const PlatformAdapter &Adapter, Handlers Events);
+  ~StoreReader();
+
+  /// \brief Starts to read. Kinds in \p Known are only watched for changes.
+  void start(const ObjectCache &Known);
+
+  /// \brief Ends all calls.
+  void stop();
+
+  /// \brief Sends later calls to \p Next.
+  void setStore(const Endpoint &Next);
+
+  /// \returns whether all kinds are being watched.
+  bool isConnected() const;
+
+private:
+  struct Feed {
+    Feed(asio::io_context &Context, ObjectKind Kind, const Endpoint &Store);
+
+    const ObjectKind Kind;
+    ObjectFeed State;
+    StoreChannel Channel;
+    asio::steady_timer Timer;
+    bool Listed = false;
+    bool Waiting = false; ///< For an answer to the probe.
+  };
+
+  void handle(Feed &From, FeedInput Input);
+  void on(Feed &From, const ListObjects &Output);
+  void on(Feed &From, const WatchObjects &Output);
+  void on(Feed &From, const StartFeedTimer &Output);
+  void on(Feed &From, FeedListed &Output);
+  void on(Feed &From, FeedChanged &Output);
+  void on(Feed &From, const FeedDisconnected &Output);
+  void on(Feed &From, const FeedReconnected &Output);
+
+  void scheduleProbe(Duration After);
+  void probe();
+  void onProbe(const Expected<HttpResponse> &Result);
+
+  asio::io_context &Context;
+  Endpoint Store;
+  const PlatformAdapter &Adapter;
+  const Handlers Events;
+  std::vector<std::unique_ptr<Feed>> Feeds; ///< Empty while not reading.
+  StoreProbe Probe;
+  StoreChannel ProbeChannel;
+  asio::steady_timer ProbeTimer;
+};
+
+} // namespace balsamyard
--- a/fuzz/Platform.cpp
+++ b/fuzz/Platform.cpp
@@ -1,6 +1,7 @@
 #include "platform/Platform.h"
 #include "balsamyard/src/Connection/HttpParser.h"
 #include "balsamyard/src/Process/CrashRecords.h"
+#include "balsamyard/src/Process/FeedCodec.h"
 #include "balsamyard/src/Process/MoveCounts.h"
 #include "fuzz/Mutate.h"
 
@@ -66,6 +67,14 @@
   });
 }
 
+int checkFeedMessage(const std::string &Bytes) {
+  return decodeFeedMessage(Bytes) ? 1 : 0;
+}
+
+int checkFeedRequest(const std::string &Bytes) {
+  return decodeFeedRequest(Bytes) ? 1 : 0;
+}
+
 int checkEvents(const std::string &Text) {
   const FeedInput Input = platform::readEvents(okResponse(Text));
   if (std::holds_alternative<FeedCallFailed>(Input))
@@ -139,6 +148,24 @@
     "limits:\n  cores: 1\nbounds:\n  drainMs: 3000\n  retryBudgetRatio: 0.2\n"
     "platform:\n  address: \"10.200.1.7:8102\"\n";
 
+std::vector<std::string> feedMessages() {
+  KindUpdate Update;
+  Update.Kind = ObjectKind::Targets;
+  Update.Complete = true;
+  Update.AsOf = StoreRevision{530};
+  ObjectChange Added;
+  Added.Object.Name = "i-1";
+  Added.Object.Revision = StoreRevision{41};
+  Added.Object.Content = nlohmann::json::parse(TargetText);
+  ObjectChange Removed;
+  Removed.Object.Name = "i-2";
+  Removed.Removed = true;
+  Update.Changes = {Added, Removed};
+  std::vector<std::string> Result = encodeKindUpdate(Update);
+  Result.push_back(encodeFeedState({true, std::chrono::milliseconds(40)}));
+  return Result;
+}
+
 } // namespace
 
 int main() {
@@ -176,6 +203,10 @@
        "HTTP/1.1 503 Full\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n"
        "\r\n"},
       checkResponse);
+  Passed &= fuzz::run("feed message", feedMessages(), checkFeedMessage);
+  FeedRequest Request{{"node-1"}, {{ObjectKind::Targets, StoreRevision{9}}}};
+  Passed &=
+      fuzz::run("feed request", {encodeFeedRequest(Request)}, checkFeedRequest);
   Passed &= fuzz::run("platform settings", {SettingsText}, checkSettings);
   return Passed ? 0 : 1;
 }
--- a/tests/path/DiscoveryTest.cpp
+++ b/tests/path/DiscoveryTest.cpp
@@ -103,8 +103,9 @@
     }
   }
 
-  GIVEN("a list that lacks a target") {
-    Fleet.retainTargets({TargetId{"two"}}, Now);
+  GIVEN("a target whose entry is gone") {
+    // A list that lacks an object reports its removal; see ObjectCacheTest.
+    Fleet.withdraw(TargetId{"one"}, Now);
     THEN("that target is withdrawn") {
       REQUIRE(Fleet.nextExpiry());
       Fleet.expire(*Fleet.nextExpiry());
@@ -118,7 +119,7 @@
       Fleet.announce(announcement("three", "west"), Now);
       CHECK(servingTargets(Fleet) == 1);
       AND_WHEN("the evacuation ends") {
-        Fleet.setEvacuatedDomains({});
+        Fleet.endEvacuation(DomainName{"west"});
         THEN("they are used again") { CHECK(servingTargets(Fleet) == 3); }
       }
     }
--- a/tests/path/ObjectFeedTest.cpp
+++ b/tests/path/ObjectFeedTest.cpp
@@ -114,3 +114,30 @@
     }
   }
 }
+
+SCENARIO("a feed resumes where its objects are known", "[feed]") {
+  RunningFeed Run;
+  Run.tell(FeedStarted{StoreRevision{30}});
+  REQUIRE(Run.find<WatchObjects>() != nullptr);
+  CHECK(Run.find<WatchObjects>()->Since == StoreRevision{30});
+  CHECK(Run.find<ListObjects>() == nullptr);
+
+  GIVEN("a watch that ends without changes") {
+    FeedEvents Events;
+    Events.AsOf = StoreRevision{33};
+    Run.tell(Events);
+    THEN("the revision that was reached is reported") {
+      REQUIRE(Run.find<FeedChanged>() != nullptr);
+      CHECK(Run.find<FeedChanged>()->Changes.empty());
+      CHECK(Run.find<FeedChanged>()->AsOf == StoreRevision{33});
+    }
+  }
+  GIVEN("a history that no longer reaches back so far") {
+    Run.tell(FeedHistoryExpired{});
+    THEN("everything is listed") {
+      CHECK(Run.find<ListObjects>() != nullptr);
+      Run.tell(page({"a"}, false, 40));
+      CHECK(Run.find<FeedListed>()->AsOf == StoreRevision{40});
+    }
+  }
+}
--- a/tests/path/PlatformTest.cpp
+++ b/tests/path/PlatformTest.cpp
@@ -50,6 +50,11 @@
 listen:
   front: "10.1.0.9:8104"
   readinessAddr: "10.1.0.9:8108"
+ip: "10.1.0.9"
+internalPorts:
+  - 7380
+  - 7395
+bootstrap: true
 limits:
   cores: 2
 bounds:
@@ -73,6 +78,8 @@
       CHECK(Read->Regions.at(DomainName{"west"}).Text == "south");
       CHECK(toText(Read->Callers) == "10.1.0.9:8104");
       CHECK(Read->Cores == 2);
+      CHECK(toText(Read->Peers) == "10.1.0.9:7380");
+      CHECK(Read->FirstStart);
       CHECK(Read->Bounds.DrainTime == std::chrono::seconds(4));
       CHECK(Read->Bounds.RetryRatio == Approx(0.3));
       CHECK(Read->Bounds.RetryWindow == std::chrono::seconds(10));
