--- a/balsamyard/src/Connection/TargetChannel.cpp
+++ b/balsamyard/src/Connection/TargetChannel.cpp
@@ -68,6 +68,7 @@
 
 void TargetChannel::run(LinkEntry &Entry, const Ref<LinkCall> &Call) {
   const TimePoint Now = steadyNow();
+  this->NextCheck = {};
   Call->Sent = true;
   Call->SentAt = Now;
   Entry.Running = Call;
@@ -81,11 +82,12 @@
     Call->OnSent();
 }
 
-void TargetChannel::openLink() {
+bool TargetChannel::openLink() {
   const TimePoint Now = steadyNow();
   if (this->Retired || this->Links.size() >= this->Limit.Max ||
       Now < this->NextOpen)
-    return;
+    return false;
+  this->NextCheck = {};
   auto Entry = makeRef<LinkEntry>();
   Entry->Link = makeRef<HttpLink>(this->Context, HttpLimits{});
   this->Links.push_back(Entry);
@@ -107,6 +109,7 @@
                       Entry->OpenedAt = steadyNow();
                       Self->dispatch();
                     });
+  return true;
 }
 
 void TargetChannel::onIdleClose(const LinkEntry &Entry, TimePoint Now) {
@@ -122,6 +125,7 @@
 }
 
 void TargetChannel::remove(const LinkEntry &Entry) {
+  this->NextCheck = {};
   std::erase_if(this->Links, [&](const Ref<LinkEntry> &Item) {
     return Item.get() == &Entry;
   });
@@ -176,6 +180,7 @@
                              Expected<HttpResponse> Result) {
   const Ref<TargetChannel> Self(this);
   const Ref<LinkCall> Call = std::move(Entry->Running);
+  this->NextCheck = {};
   this->observe(*Call, Result, steadyNow());
   const bool Alive = Entry->Link->isOpen();
   const bool Broken = !Result;
@@ -331,10 +336,7 @@
       this->Target->reach() != Reach::Up && Now >= this->NextProbe)
     this->probe();
 
-  const Duration MaxIdle =
-      this->Target->preferred()
-          ? this->IdleLimit
-          : std::min(this->IdleLimit, this->Times.SpareIdleLimit);
+  const Duration MaxIdle = this->maxIdle();
   const std::vector<Ref<LinkEntry>> Current = this->Links;
   for (const Ref<LinkEntry> &Entry : Current) {
     if (Entry->Running &&
@@ -348,11 +350,32 @@
       this->remove(*Entry);
     }
   }
-  if (this->Retired)
-    return;
-  if (this->Target->reach() == Reach::Up &&
-      this->Links.size() < this->Limit.Preopened)
-    this->openLink();
+  this->scheduleCheck(Now);
+}
+
+bool TargetChannel::preopen() {
+  return this->Target->reach() == Reach::Up &&
+         this->Links.size() < this->Limit.Preopened && this->openLink();
+}
+
+Duration TargetChannel::maxIdle() const {
+  return this->Target->preferred()
+             ? this->IdleLimit
+             : std::min(this->IdleLimit, this->Times.SpareIdleLimit);
+}
+
+void TargetChannel::scheduleCheck(TimePoint Now) {
+  this->NextCheck = TimePoint::max();
+  if (this->Links.size() < this->Limit.Preopened)
+    this->NextCheck = Now;
+  for (const Ref<LinkEntry> &Entry : this->Links) {
+    if (Entry->Running)
+      this->NextCheck = std::min(this->NextCheck, Entry->Running->Deadline +
+                                                      this->Times.AnswerGrace);
+    else if (!Entry->Opening)
+      this->NextCheck =
+          std::min(this->NextCheck, Entry->Link->idleSince() + this->maxIdle());
+  }
 }
 
 void TargetChannel::retire() {
@@ -370,11 +393,12 @@
   this->suspect();
 }
 
-std::vector<Ref<TargetChannel>> TargetChannels::all() const {
+template <typename Filter>
+std::vector<Ref<TargetChannel>> TargetChannels::channels(Filter Wanted) const {
   std::vector<Ref<TargetChannel>> Result;
-  Result.reserve(this->Channels.size());
   for (const auto &[Target, Channel] : this->Channels)
-    Result.push_back(Channel);
+    if (Wanted(*Channel))
+      Result.push_back(Channel);
   return Result;
 }
 
@@ -402,9 +426,11 @@
       Channel->resume();
       Channel->tick(Now);
     }
-  for (const Ref<TargetChannel> &Channel : this->all())
-    if (!Listed.contains(&Channel->target()))
-      Channel->retire();
+  for (const Ref<TargetChannel> &Channel :
+       this->channels([&Listed](const TargetChannel &Item) {
+         return !Listed.contains(&Item.target());
+       }))
+    Channel->retire();
 }
 
 TargetChannel &TargetChannels::channelFor(KnownTarget &Target) {
@@ -423,8 +449,12 @@
     this->FormerLinksExpired = true;
     this->applyView();
   }
-  for (const Ref<TargetChannel> &Channel : this->all()) {
+  std::size_t Preopened = 0;
+  for (const Ref<TargetChannel> &Channel : this->channels(
+           [Now](const TargetChannel &Item) { return Item.isDue(Now); })) {
     Channel->tick(Now);
+    if (Preopened < MaxPreopensPerTick && Channel->preopen())
+      ++Preopened;
     if (Channel->isRetired() && Channel->isIdle())
       this->Channels.erase(&Channel->target());
   }
--- a/balsamyard/src/Connection/TargetChannel.h
+++ b/balsamyard/src/Connection/TargetChannel.h
@@ -71,11 +71,23 @@
   /// unreachable target.
   void tick(TimePoint Now);
 
+  /// \brief Opens a connection in advance if one is missing. \returns whether
+  /// it did.
+  bool preopen();
+
+  /// \returns whether tick() may have something to do. Cheap, as most of the
+  /// hundreds of channels of a thread are idle most of the time.
+  bool isDue(TimePoint Now) const {
+    return Now >= this->NextCheck || this->Retired ||
+           this->Target->reach() != Reach::Up;
+  }
+
   /// \brief Applies the connection limit and health path of the target's
   /// service.
   void configure(ConnectionQuota Next, const std::string &NextHealthPath) {
     this->Limit = Next;
     this->HealthPath = NextHealthPath;
+    this->NextCheck = {};
   }
 
   /// \brief Stops sending new requests to the target; running ones finish.
@@ -102,7 +114,7 @@
       boost::intrusive::member_hook<
           LinkCall, boost::intrusive::list_member_hook<>, &LinkCall::Hook>>;
 
-  void openLink();
+  bool openLink();
   void dispatch();
   void run(LinkEntry &Entry, const Ref<LinkCall> &Call);
   void onAnswer(const Ref<LinkEntry> &Entry, Expected<HttpResponse> Result);
@@ -118,6 +130,8 @@
   void observe(LinkCall &Call, const Expected<HttpResponse> &Result,
                TimePoint Now);
   std::size_t openLinks() const;
+  Duration maxIdle() const;
+  void scheduleCheck(TimePoint Now);
 
   asio::io_context &Context;
   const Ref<KnownTarget> Target;
@@ -131,6 +145,7 @@
   TimePoint ProbeDeadline{};
   TimePoint NextProbe{};
   TimePoint NextOpen{};
+  TimePoint NextCheck{}; ///< Reset whenever a connection changes its state.
   Duration ProbePause{};
   Duration IdleLimit;
   bool IdleTimeoutAdvertised = false; ///< By a response.
@@ -140,6 +155,12 @@
 /// \brief The channels of one I/O thread.
 class TargetChannels {
 public:
+  /// Connections opened in advance per call of tick(). When an index is cut
+  /// into other shards, hundreds of targets appear at once; opening a
+  /// connection to each in one go would keep a small VM from its requests for a
+  /// fifth of a second.
+  static constexpr std::size_t MaxPreopensPerTick = 16;
+
   /// \p Threads is the number of I/O threads that share the connections of the
   /// process.
   TargetChannels(asio::io_context &Context, const TargetProtocol &Protocol,
@@ -160,7 +181,8 @@
 private:
   /// Returns a copy, because handlers called by a channel may open further
   /// channels while a caller iterates.
-  std::vector<Ref<TargetChannel>> all() const;
+  template <typename Filter>
+  std::vector<Ref<TargetChannel>> channels(Filter Wanted) const;
 
   void applyView();
 
--- a/balsamyard/src/Process/Discovery.cpp
+++ b/balsamyard/src/Process/Discovery.cpp
@@ -32,12 +32,15 @@
 /// rest is reserved for nodes that have started but are not counted yet.
 constexpr double ConnectionLimitFraction = 0.94;
 
-/// Fractions of the retry bounds that are used. The platform compares the extra
+/// Fraction of the retry ratio that is used. The platform compares the extra
 /// arrivals of a window with the requests of that window, or of the windows
 /// that start half a window and a whole window earlier. Each of them overlaps
 /// the window that is counted here by at least three quarters.
 constexpr double RetryRatioFraction = 0.75;
-constexpr double RetrySlackFraction = 0.75;
+
+/// Fraction of the retry slack that all nodes together use. The rest is
+/// reserved for nodes that have started but are not counted yet.
+constexpr double RetrySlackFraction = 0.9;
 
 /// The initial estimate of a route's median latency is its latency goal divided
 /// by this.
@@ -66,21 +69,41 @@
 }
 
 Discovery::Discovery(const NodeSettings &Settings)
-    : Settings(Settings), Nodes(AssumedNodeCount) {}
+    : Settings(Settings), Gate(Settings.Bounds.ConfigurationTime),
+      Nodes(AssumedNodeCount) {}
 
-bool Discovery::configure(Ref<const Configuration> Next) {
-  if (this->Config && Next->Version <= this->Config->Version)
+bool Discovery::configure(Ref<const Configuration> Next, TimePoint Now) {
+  const auto Version = static_cast<std::int64_t>(Next->Version);
+  if (!this->Gate.offer(std::move(Next), Now))
     return false;
+  this->updateConfiguration(Now);
+  if (this->Gate.isHolding())
+    logEvent(LogLevel::Info, "configuration-held", {{"config", Version}});
+  return true;
+}
+
+void Discovery::updateConfiguration(TimePoint Now) {
+  if (!this->Gate.isHolding())
+    return;
+  ConfigurationGate::ReadinessByService Services;
+  for (const auto &[Id, Target] : this->Targets) {
+    if (Target.State->adminState() != AdminState::Serving)
+      continue;
+    ServiceReadiness &Service = Services[Target.State->Info.Service];
+    Service.Announced = true;
+    Service.Warm = Service.Warm || !Target.State->isCold(Now);
+  }
+  const Ref<const Configuration> Former = this->Gate.current();
+  if (!this->Gate.update(Services, Now))
+    return;
+  const Configuration &Next = *this->Gate.current();
   logEvent(LogLevel::Info, "configuration-in-force",
-           {{"config", static_cast<std::int64_t>(Next->Version)},
-            {"former", this->Config
-                           ? static_cast<std::int64_t>(this->Config->Version)
-                           : std::int64_t(0)},
-            {"routes", static_cast<std::int64_t>(Next->Routes.size())},
-            {"services", static_cast<std::int64_t>(Next->Services.size())}});
-  this->Config = std::move(Next);
+           {{"config", static_cast<std::int64_t>(Next.Version)},
+            {"former", Former ? static_cast<std::int64_t>(Former->Version)
+                              : std::int64_t(0)},
+            {"routes", static_cast<std::int64_t>(Next.Routes.size())},
+            {"services", static_cast<std::int64_t>(Next.Services.size())}});
   this->Changed = true;
-  return true;
 }
 
 RegionName Discovery::regionOf(const DomainName &Domain) const {
@@ -102,7 +125,8 @@
   Info.Region = this->regionOf(Info.Domain);
   Info.NetworkDistance = this->distanceOf(Info.Domain);
   Entry &Target = this->Targets[Info.Id];
-  if (!Target.State || !(Target.State->Info == Info)) {
+  const bool IsNew = !Target.State || !(Target.State->Info == Info);
+  if (IsNew) {
     // Observations of the former incarnation do not apply to the new one.
     if (Target.State)
       Target.State->setAdminState(AdminState::Gone);
@@ -126,7 +150,7 @@
     logEvent(LogLevel::Info, "target-leaving", {{"target", Info.Id.Text}});
   Target.Leaving = Announcement.Leaving;
   if (Announcement.RemainingWarmup > Duration::zero()) {
-    if (!Target.State->isCold(Now))
+    if (!IsNew && !Target.State->isCold(Now))
       logEvent(
           LogLevel::Info, "target-cold",
           {{"target", Info.Id.Text}, {"left", Announcement.RemainingWarmup}});
@@ -227,15 +251,22 @@
   return HasOld || Move.share() <= 0 ? Found->second : nullptr;
 }
 
-std::optional<TimePoint> Discovery::nextExpiry() const {
+std::optional<TimePoint> Discovery::nextUpdate(TimePoint Now) const {
   std::optional<TimePoint> Next;
+  if (this->Gate.isHolding())
+    Next = Now + ConfigurationGate::CheckInterval;
   for (const auto &[Id, Target] : this->Targets)
     if (Target.ExpiresAt && (!Next || *Target.ExpiresAt < *Next))
       Next = Target.ExpiresAt;
   return Next;
 }
 
-void Discovery::expire(TimePoint Now) {
+void Discovery::update(TimePoint Now) {
+  this->expireTargets(Now);
+  this->updateConfiguration(Now);
+}
+
+void Discovery::expireTargets(TimePoint Now) {
   for (auto It = this->Targets.begin(); It != this->Targets.end();) {
     if (!It->second.ExpiresAt || *It->second.ExpiresAt > Now) {
       ++It;
@@ -248,6 +279,20 @@
   }
 }
 
+std::vector<TargetId> Discovery::slowTargets(TimePoint Since) const {
+  std::vector<TargetId> Result;
+  for (const auto &[Id, Target] : this->Targets)
+    if (Target.State->slowSeenAt() > Since)
+      Result.push_back(Id);
+  return Result;
+}
+
+void Discovery::reportSlow(const std::vector<TargetId> &Slow, TimePoint Now) {
+  for (const TargetId &Id : Slow)
+    if (const auto Found = this->Targets.find(Id); Found != this->Targets.end())
+      Found->second.State->reportSlow(Now);
+}
+
 void Discovery::choosePreferred(const ServiceSpec &Spec,
                                 std::vector<Ref<KnownTarget>> &Targets) const {
   const std::size_t Count = Targets.size();
@@ -288,15 +333,16 @@
                         Bounds.RetryWindow};
   View->Shares.ColdRateFactor = Bounds.ColdRateFactor;
   View->Shares.ColdSlack = Bounds.ColdSlack;
-  if (!this->Config)
+  const Ref<const Configuration> &Config = this->Gate.current();
+  if (!Config)
     return View;
-  View->Config = this->Config;
+  View->Config = Config;
   View->Crashes = this->Crashes;
   std::map<ServiceName, std::vector<Ref<KnownTarget>>> ByService;
   for (const auto &[Id, Target] : this->Targets)
     if (Target.State->adminState() == AdminState::Serving)
       ByService[Target.State->Info.Service].push_back(Target.State);
-  for (const ServiceSpec &Spec : this->Config->Services) {
+  for (const ServiceSpec &Spec : Config->Services) {
     ServiceEntry &Service = View->Services.emplace_back();
     Service.Targets = std::move(ByService[Spec.Name]);
     this->choosePreferred(Spec, Service.Targets);
@@ -309,7 +355,7 @@
   // Keep the statistics of the routes that are still configured.
   const std::map<RouteName, Ref<RouteStats>> Former =
       std::exchange(this->Stats, {});
-  for (const Route &Served : this->Config->Routes) {
+  for (const Route &Served : Config->Routes) {
     const auto Found = Former.find(Served.Name);
     Ref<RouteStats> &Statistics = this->Stats[Served.Name];
     Statistics =
--- a/balsamyard/src/Process/Discovery.h
+++ b/balsamyard/src/Process/Discovery.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "balsamyard/src/Process/ConfigurationGate.h"
 #include "balsamyard/src/Process/NodeSettings.h"
 #include "balsamyard/src/Process/PlatformAdapter.h"
 #include "balsamyard/src/Version/FleetView.h"
@@ -21,12 +22,13 @@
   /// \brief Applies the bounds of reloaded settings.
   void setBounds(const FleetBounds &Next) {
     this->Settings.Bounds = Next;
+    this->Gate.setBound(Next.ConfigurationTime);
     this->Changed = true;
   }
 
-  /// \brief Puts \p Next in force if it is newer than the current
-  /// configuration. \returns whether it did.
-  bool configure(Ref<const Configuration> Next);
+  /// \brief Takes \p Next if it is newer than all configurations before;
+  /// update() puts it in force. \returns whether it did.
+  bool configure(Ref<const Configuration> Next, TimePoint Now);
 
   /// \brief Adds a target or applies its changed announcement.
   void announce(const TargetAnnouncement &Announcement, TimePoint Now);
@@ -67,11 +69,12 @@
     this->UnstableAt = std::max(this->UnstableAt.value_or(At), At);
   }
 
-  /// \returns when the next grace period of a withdrawn target ends, if any.
-  std::optional<TimePoint> nextExpiry() const;
+  /// \returns when update() has to be called next, if at all.
+  std::optional<TimePoint> nextUpdate(TimePoint Now) const;
 
-  /// \brief Removes the targets whose grace period has ended.
-  void expire(TimePoint Now);
+  /// \brief Removes the targets whose grace period has ended, and puts a newer
+  /// configuration in force if it is due. \sa ConfigurationGate
+  void update(TimePoint Now);
 
   /// \returns whether the state has changed since the last build().
   bool changed() const { return this->Changed; }
@@ -81,9 +84,15 @@
 
   /// \returns whether requests can be served.
   bool canServe() const {
-    return this->Config != nullptr && !this->Targets.empty();
+    return this->Gate.current() != nullptr && !this->Targets.empty();
   }
 
+  /// \returns the targets that this process found slow after \p Since.
+  std::vector<TargetId> slowTargets(TimePoint Since) const;
+
+  /// \brief Records that other nodes found targets slow.
+  void reportSlow(const std::vector<TargetId> &Slow, TimePoint Now);
+
   std::size_t targets() const { return this->Targets.size(); }
 
 private:
@@ -101,8 +110,11 @@
   void choosePreferred(const ServiceSpec &Spec,
                        std::vector<Ref<KnownTarget>> &Targets) const;
 
+  void expireTargets(TimePoint Now);
+  void updateConfiguration(TimePoint Now);
+
   NodeSettings Settings;
-  Ref<const Configuration> Config;
+  ConfigurationGate Gate;
   std::map<TargetId, Entry> Targets;
   std::set<DomainName> Evacuated;
   std::map<ServiceName, Ref<RetryBudget>> Budgets;
--- a/balsamyard/src/Process/FeedCodec.cpp
+++ b/balsamyard/src/Process/FeedCodec.cpp
@@ -89,8 +89,38 @@
   return Result;
 }
 
+Expected<SlowTargets> readSlowTargets(const Json &Document) {
+  const Json &Targets = member(Document, "slow");
+  const Json &Forwarded = member(Document, "forwarded");
+  if (!Targets.is_array() || !Forwarded.is_boolean())
+    return malformed("a field of the report is missing or has the wrong type");
+  SlowTargets Result;
+  Result.Forwarded = Forwarded.get<bool>();
+  for (const Json &Target : Targets) {
+    if (!Target.is_string())
+      return malformed("a target of the report is not a string");
+    Result.Targets.push_back(TargetId{Target.get<std::string>()});
+  }
+  return Result;
+}
+
 } // namespace
 
+std::string encodeSlowTargets(const SlowTargets &Report) {
+  Json Targets = Json::array();
+  for (const TargetId &Target : Report.Targets)
+    Targets.push_back(Target.Text);
+  return toCbor(
+      {{"slow", std::move(Targets)}, {"forwarded", Report.Forwarded}});
+}
+
+Expected<SlowTargets> decodeSlowTargets(std::string_view Bytes) {
+  const Json Document = parseCbor(Bytes).value_or(nullptr);
+  if (!Document.is_object())
+    return malformed("the report is not an object");
+  return readSlowTargets(Document);
+}
+
 std::string encodeFeedRequest(const FeedRequest &Request) {
   Json Known = Json::object();
   for (const auto &[Kind, Revision] : Request.Known)
@@ -147,6 +177,12 @@
   const Json Document = parseCbor(Bytes).value_or(nullptr);
   if (!Document.is_object())
     return malformed("the message is not an object");
+  if (Document.contains("slow")) {
+    Expected<SlowTargets> Report = readSlowTargets(Document);
+    if (!Report)
+      return tl::unexpected(Report.error());
+    return std::move(*Report);
+  }
   const Json &Connected = member(Document, "connected");
   if (!Connected.is_boolean())
     return decodeUpdate(Document);
--- a/balsamyard/src/Process/FeedCodec.h
+++ b/balsamyard/src/Process/FeedCodec.h
@@ -43,7 +43,16 @@
   bool More = false;
 };
 
-using FeedMessage = std::variant<FeedSourceState, KindUpdatePart>;
+/// \brief Targets that nodes found slow. \sa SlowReports
+struct SlowTargets {
+  std::vector<TargetId> Targets;
+
+  /// The sender has it from another reader, which has passed it on to all
+  /// readers of the failure domain.
+  bool Forwarded = false;
+};
+
+using FeedMessage = std::variant<FeedSourceState, KindUpdatePart, SlowTargets>;
 
 /// \brief Maximum number of bytes of objects in one part. One object may take
 /// more.
@@ -54,6 +63,9 @@
 
 std::string encodeFeedState(const FeedSourceState &State);
 
+std::string encodeSlowTargets(const SlowTargets &Report);
+Expected<SlowTargets> decodeSlowTargets(std::string_view Bytes);
+
 /// \returns the messages that carry \p Update, in order.
 std::vector<std::string> encodeKindUpdate(const KindUpdate &Update);
 
--- a/balsamyard/src/Process/FeedRelay.cpp
+++ b/balsamyard/src/Process/FeedRelay.cpp
@@ -7,8 +7,19 @@
 
 namespace balsamyard {
 
-FeedRelay::FeedRelay(asio::io_context &Context, const ObjectCache &Objects)
-    : Context(Context), Objects(Objects), Timer(Context) {}
+namespace {
+
+void logRejected(const Error &Cause) {
+  logEvent(LogLevel::Warning, "feed-request-rejected",
+           {{"code", Cause.Value}, {"detail", Cause.Detail}});
+}
+
+} // namespace
+
+FeedRelay::FeedRelay(asio::io_context &Context, const ObjectCache &Objects,
+                     SlowHandler OnSlow)
+    : Context(Context), Objects(Objects), OnSlow(std::move(OnSlow)),
+      Timer(Context) {}
 
 Expected<void> FeedRelay::listen(const Endpoint &At) {
   constexpr std::size_t Threads = 1;
@@ -32,21 +43,34 @@
 void FeedRelay::accept(const std::string &RequestPath,
                        const std::string &Message,
                        const Ref<PeerStream> &Stream) {
+  // A stream that is neither kept nor finished is reset.
+  if (RequestPath == SlowPath) {
+    const Expected<SlowTargets> Report = decodeSlowTargets(Message);
+    if (!Report) {
+      logRejected(Report.error());
+      return;
+    }
+    Stream->finish();
+    this->OnSlow(*Report);
+    return;
+  }
   Expected<FeedRequest> Request =
       RequestPath == Path
           ? decodeFeedRequest(Message)
           : Expected<FeedRequest>(
                 fail(Code::UnknownPath, "no such path: " + RequestPath));
-  if (!Request) {
-    logEvent(
-        LogLevel::Warning, "feed-request-rejected",
-        {{"code", Request.error().Value}, {"detail", Request.error().Detail}});
-    return;
-  }
+  if (Request)
+    this->addFollower(std::move(*Request), Stream);
+  else
+    logRejected(Request.error());
+}
+
+void FeedRelay::addFollower(FeedRequest Request,
+                            const Ref<PeerStream> &Stream) {
   auto Joined = makeRef<Follower>();
-  Joined->Node = std::move(Request->Node);
+  Joined->Node = std::move(Request.Node);
   Joined->Stream = Stream;
-  Joined->Sent = std::move(Request->Known);
+  Joined->Sent = std::move(Request.Known);
   this->Followers.push_back(Joined);
   Stream->onCancel([this, Joined] {
     asio::post(this->Context, [this, Joined] { this->remove(*Joined); });
@@ -55,6 +79,12 @@
   Stream->send(this->encodedState());
 }
 
+void FeedRelay::sendSlow(const SlowTargets &Report) {
+  const std::string Message = encodeSlowTargets(Report);
+  for (const Ref<Follower> &Item : this->Followers)
+    Item->Stream->send(Message);
+}
+
 void FeedRelay::remove(const Follower &Gone) {
   std::erase_if(this->Followers, [&Gone](const Ref<Follower> &Item) {
     return Item.get() == &Gone;
--- a/balsamyard/src/Process/FeedRelay.h
+++ b/balsamyard/src/Process/FeedRelay.h
@@ -6,6 +6,7 @@
 
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -20,11 +21,18 @@
   /// \brief Path of the request that starts to follow a node.
   static constexpr const char *Path = "/v1/feed";
 
+  /// \brief Path of reports of slow targets.
+  static constexpr const char *SlowPath = "/v1/slow";
+
   /// Interval of the sign of life for followers.
   static constexpr Duration StateInterval = std::chrono::milliseconds(700);
 
-  /// \p Objects outlives the relay.
-  FeedRelay(asio::io_context &Context, const ObjectCache &Objects);
+  using SlowHandler = std::function<void(const SlowTargets &)>;
+
+  /// \p Objects outlives the relay. \p OnSlow is called for reports of other
+  /// nodes.
+  FeedRelay(asio::io_context &Context, const ObjectCache &Objects,
+            SlowHandler OnSlow);
 
   /// \brief Accepts followers at \p At.
   Expected<void> listen(const Endpoint &At);
@@ -42,6 +50,9 @@
   /// \brief Sends what has changed in the cache to all followers.
   void publish();
 
+  /// \brief Sends a report to all followers.
+  void sendSlow(const SlowTargets &Report);
+
   /// \brief Ends all connections, so that the followers turn to another node.
   void stop();
 
@@ -56,6 +67,7 @@
 
   void accept(const std::string &RequestPath, const std::string &Message,
               const Ref<PeerStream> &Stream);
+  void addFollower(FeedRequest Request, const Ref<PeerStream> &Stream);
   void sendChanges(Follower &To);
   void remove(const Follower &Gone);
   std::string encodedState() const;
@@ -75,6 +87,7 @@
 
   asio::io_context &Context;
   const ObjectCache &Objects;
+  const SlowHandler OnSlow;
   asio::steady_timer Timer;
   bool Connected = false;
   std::optional<TimePoint> UnstableSince;
--- a/balsamyard/src/Process/FeedSource.h
+++ b/balsamyard/src/Process/FeedSource.h
@@ -109,6 +109,14 @@
   /// \returns whether other nodes may follow this one.
   bool isReader() const { return this->Reader; }
 
+  /// \returns the node that is followed, if any.
+  std::optional<PeerNode> followed() const {
+    return this->Current ? std::optional(this->Current->Peer) : std::nullopt;
+  }
+
+  /// \returns the other readers of the failure domain.
+  std::vector<PeerNode> domainReaders() const;
+
   /// \returns the position of this node in the order in which nodes act for
   /// the whole system: readers first, as they are the first to know.
   std::uint32_t rank() const { return this->Rank; }
--- a/balsamyard/src/Process/FeedSubscription.cpp
+++ b/balsamyard/src/Process/FeedSubscription.cpp
@@ -14,14 +14,27 @@
 
 FeedSubscription::~FeedSubscription() { this->close(); }
 
-void FeedSubscription::open(const Endpoint &To, const FeedRequest &Request) {
+PeerClient &FeedSubscription::client() {
   constexpr std::size_t Threads = 1;
-  this->close();
   if (!this->Client)
     this->Client = std::make_unique<PeerClient>(Threads);
+  return *this->Client;
+}
+
+void FeedSubscription::report(const Endpoint &To, const SlowTargets &Report) {
+  this->client().call(
+      To, FeedRelay::SlowPath, encodeSlowTargets(Report), ReportTimeout,
+      [](const std::string &) {},
+      [](Code, bool) {
+        // A lost report is not sent again: the next one is as good.
+      });
+}
+
+void FeedSubscription::open(const Endpoint &To, const FeedRequest &Request) {
+  this->close();
   const auto Started = makeRef<Session>();
   this->Current = Started;
-  Started->Call = this->Client->call(
+  Started->Call = this->client().call(
       To, FeedRelay::Path, encodeFeedRequest(Request), MaxTime,
       [this, Started](std::string Message) {
         asio::post(this->Context,
@@ -54,15 +67,16 @@
     this->Events.OnEnd();
     return;
   }
-  std::visit(Overload{[this](const FeedSourceState &State) {
-                        this->Events.OnState(State);
-                      },
-                      [this, &From](KindUpdatePart &Part) {
-                        if (std::optional<KindUpdate> Update =
-                                From.Parts.add(std::move(Part)))
-                          this->Events.OnUpdate(std::move(*Update));
-                      }},
-             *Read);
+  std::visit(
+      Overload{
+          [this](const FeedSourceState &State) { this->Events.OnState(State); },
+          [this](const SlowTargets &Report) { this->Events.OnSlow(Report); },
+          [this, &From](KindUpdatePart &Part) {
+            if (std::optional<KindUpdate> Update =
+                    From.Parts.add(std::move(Part)))
+              this->Events.OnUpdate(std::move(*Update));
+          }},
+      *Read);
 }
 
 void FeedSubscription::onEnd(Session &From) {
--- a/balsamyard/src/Process/FeedSubscription.h
+++ b/balsamyard/src/Process/FeedSubscription.h
@@ -16,9 +16,13 @@
   /// A node is followed for at most this time; then it is asked again.
   static constexpr Duration MaxTime = std::chrono::hours(1);
 
+  /// A report that is older is worth nothing.
+  static constexpr Duration ReportTimeout = std::chrono::seconds(1);
+
   struct Handlers {
     std::function<void(KindUpdate)> OnUpdate;
     std::function<void(const FeedSourceState &)> OnState;
+    std::function<void(const SlowTargets &)> OnSlow;
 
     /// The connection has ended or could not be opened. Not called after
     /// close().
@@ -33,6 +37,10 @@
 
   void close();
 
+  /// \brief Sends a report of slow targets to the node at \p To. It is lost if
+  /// that node cannot be reached.
+  void report(const Endpoint &To, const SlowTargets &Report);
+
 private:
   /// One followed node. Its handlers run on the thread of the client and are
   /// posted to the control thread, where the state is used.
@@ -42,6 +50,7 @@
     Ref<PeerCall> Call;
   };
 
+  PeerClient &client();
   void onMessage(Session &From, const std::string &Message);
   void onEnd(Session &From);
 
--- a/balsamyard/src/Process/FleetAgent.cpp
+++ b/balsamyard/src/Process/FleetAgent.cpp
@@ -31,8 +31,12 @@
           Context,
           {[this](KindUpdate Update) { this->onUpdate(std::move(Update)); },
            [this](const FeedSourceState &State) { this->onPeerState(State); },
+           [this](const SlowTargets &Report) {
+             this->Fleet.reportSlow(Report.Targets, steadyNow());
+           },
            [this] { this->handle(PeerLost{}); }}),
-      Relay(Context, this->Objects),
+      Relay(Context, this->Objects,
+            [this](const SlowTargets &Report) { this->onSlowReport(Report); }),
       Moves(Context, Settings, Adapter, this->Fleet,
             {[this] { this->scheduleUpdate(); },
              [this] { return this->readsStore(); },
@@ -48,12 +52,14 @@
              this->setPeers(std::move(Nodes));
            },
            [this] { return this->readsStore(); }}),
-      SourceTimer(Context), UpdateTimer(Context) {}
+      SourceTimer(Context), SlowTimer(Context), UpdateTimer(Context) {}
 
 void FleetAgent::start() {
   // Without an address for other nodes, there is nothing to follow.
   if (this->Settings.Peers.Port == 0)
     this->on(ReadStore{});
+  else
+    this->exchangeSlowReports();
   this->Registry.start();
   this->Crashes.start();
 }
@@ -89,6 +95,39 @@
               {"detail", Listening.error().Detail}});
 }
 
+void FleetAgent::exchangeSlowReports() {
+  const TimePoint Now = steadyNow();
+  for (const TargetId &Target : this->Fleet.slowTargets(this->SlowScannedAt))
+    this->OwnReports.add(Target, Now);
+  this->SlowScannedAt = Now;
+  const SlowTargets Own{this->OwnReports.take(Now), false};
+  const SlowTargets Forwarded{this->ForwardedReports.take(Now), true};
+  if (const std::optional<PeerNode> Peer = this->Source.followed()) {
+    if (!Own.Targets.empty())
+      this->Subscription.report(Peer->Peers, Own);
+  } else if (this->Source.isReader()) {
+    for (const SlowTargets &Report : {Own, Forwarded})
+      if (!Report.Targets.empty())
+        this->Relay.sendSlow(Report);
+    if (!Own.Targets.empty())
+      for (const PeerNode &Reader : this->Source.domainReaders())
+        this->Subscription.report(Reader.Peers, {Own.Targets, true});
+  }
+  this->SlowTimer.expires_after(SlowReports::SendInterval);
+  this->SlowTimer.async_wait([this](const asio::error_code &Cancelled) {
+    if (!Cancelled)
+      this->exchangeSlowReports();
+  });
+}
+
+void FleetAgent::onSlowReport(const SlowTargets &Report) {
+  const TimePoint Now = steadyNow();
+  this->Fleet.reportSlow(Report.Targets, Now);
+  for (const TargetId &Target : Report.Targets)
+    (Report.Forwarded ? this->ForwardedReports : this->OwnReports)
+        .add(Target, Now);
+}
+
 void FleetAgent::handle(const FeedSourceEvent &Event) {
   for (const FeedSourceEffect &Effect : this->Source.handle(Event, steadyNow()))
     std::visit([this](const auto &Body) { this->on(Body); }, Effect);
@@ -212,7 +251,7 @@
               {"detail", Read.error().Detail}});
     return;
   }
-  this->Fleet.configure(std::move(*Read));
+  this->Fleet.configure(std::move(*Read), steadyNow());
 }
 
 void FleetAgent::applyTarget(const StoredObject &Object) {
@@ -246,8 +285,8 @@
   TimePoint Next = TimePoint::max();
   if (this->Fleet.changed())
     Next = Now + PublishDelay;
-  if (const std::optional<TimePoint> Expiry = this->Fleet.nextExpiry())
-    Next = std::min(Next, *Expiry);
+  if (const std::optional<TimePoint> Due = this->Fleet.nextUpdate(Now))
+    Next = std::min(Next, *Due);
   if (Next >= this->UpdateAt)
     return;
   this->UpdateAt = Next;
@@ -260,7 +299,7 @@
 
 void FleetAgent::update() {
   this->UpdateAt = TimePoint::max();
-  this->Fleet.expire(steadyNow());
+  this->Fleet.update(steadyNow());
   if (this->Fleet.changed()) {
     this->View.publish(this->Fleet.build());
     const bool CanServe = this->knowsAllKinds() && this->Fleet.canServe();
--- a/balsamyard/src/Process/FleetAgent.h
+++ b/balsamyard/src/Process/FleetAgent.h
@@ -9,6 +9,7 @@
 #include "balsamyard/src/Process/NodeRegistry.h"
 #include "balsamyard/src/Process/ObjectCache.h"
 #include "balsamyard/src/Process/PlatformAdapter.h"
+#include "balsamyard/src/Process/SlowReports.h"
 #include "balsamyard/src/Process/StoreReader.h"
 #include "balsamyard/src/Version/RcuCell.h"
 
@@ -58,6 +59,8 @@
   void onPeerState(const FeedSourceState &State);
   void onStoreConnection();
   void setPeers(std::vector<PeerNode> Nodes);
+  void exchangeSlowReports();
+  void onSlowReport(const SlowTargets &Report);
   void handle(const FeedSourceEvent &Event);
   void on(const ReadStore &Effect);
   void on(const LeaveStore &Effect);
@@ -84,10 +87,14 @@
   StoreReader Reader;
   FeedSubscription Subscription;
   FeedRelay Relay;
+  SlowReports OwnReports;       ///< Of this node and its followers.
+  SlowReports ForwardedReports; ///< Of other readers of the failure domain.
+  TimePoint SlowScannedAt{};
   MoveAgent Moves;
   CrashAgent Crashes;
   NodeRegistry Registry;
   asio::steady_timer SourceTimer;
+  asio::steady_timer SlowTimer;
   asio::steady_timer UpdateTimer;
   TimePoint UpdateAt = TimePoint::max();
   bool StoreConnected = false;            ///< This node reads the store.
--- a/balsamyard/src/Process/Node.cpp
+++ b/balsamyard/src/Process/Node.cpp
@@ -119,7 +119,8 @@
   this->Channels.tick(steadyNow());
   this->ConnectionCount.store(this->Callers.connections(),
                               std::memory_order_relaxed);
-  this->Timer.expires_after(TickInterval);
+  this->Context.NextTick = steadyNow() + TickInterval;
+  this->Timer.expires_at(this->Context.NextTick);
   this->Timer.async_wait([this](const asio::error_code &Cancelled) {
     if (!Cancelled)
       this->tick();
--- a/balsamyard/src/Process/NodeSettings.h
+++ b/balsamyard/src/Process/NodeSettings.h
@@ -28,6 +28,9 @@
   /// How long a target keeps serving after it announces that it leaves.
   Duration DrainTime = std::chrono::seconds(3);
 
+  /// Time within which an accepted configuration has to be in force.
+  Duration ConfigurationTime = std::chrono::seconds(3);
+
   /// Time between the stop signal and the kill of the process.
   Duration StopTime = std::chrono::seconds(6);
 };
--- a/balsamyard/src/Request/RequestRun.cpp
+++ b/balsamyard/src/Request/RequestRun.cpp
@@ -66,6 +66,14 @@
   return Duration(std::max<std::int64_t>(Longest - CallerTimeLeft.count(), 0));
 }
 
+/// \returns an estimate of the time that a request which is read now has waited
+/// for this thread. The time left that its caller states does not include it.
+Duration timeUnread(const RequestContext &Context, TimePoint Now) {
+  return Context.NextTick == TimePoint{}
+             ? Duration::zero()
+             : std::max(Now - Context.NextTick, Duration::zero());
+}
+
 } // namespace
 
 void RequestRun::start(RequestContext &Context, ServerConnection &Caller,
@@ -107,11 +115,14 @@
   RouteStats &Stats = *View->Stats[static_cast<std::size_t>(RouteIndex)];
   const Duration CallerTimeLeft =
       Context.Protocol.timeLeft(Request).value_or(Matched.Timeout);
+  const TimePoint Received = Now - timeUnread(Context, Now);
   ScatterInput Input;
   Input.RouteIndex = static_cast<std::size_t>(RouteIndex);
-  Input.Deadline = Now + std::min(CallerTimeLeft, Matched.Timeout);
-  Input.GoalTime = Now + Matched.LatencyGoal - CallerNetworkTime -
-                   timeUsedByEarlierAttempts(Stats, CallerTimeLeft);
+  Input.Deadline = Received + std::min(CallerTimeLeft, Matched.Timeout);
+  Input.GoalTime =
+      Received + Matched.LatencyGoal - CallerNetworkTime -
+      std::min(Context.GoalLag.value(), RequestContext::MaxGoalLag) -
+      timeUsedByEarlierAttempts(Stats, CallerTimeLeft);
   Input.Seed = Context.NextSeed++;
   Input.View = std::move(View);
   const auto Run = makeRef<RequestRun>(Context, Caller, std::move(Request),
@@ -242,8 +253,12 @@
   std::string Message = this->Context.Protocol.answer(
       Answer, KeepOpen, this->Request.Method != "HEAD");
   const Ref<ServerConnection> Connection = this->Caller;
+  RequestContext &Shared = this->Context;
+  const std::optional<TimePoint> Goal = this->Decisions.endedAtGoal();
   this->release();
   Connection->answer(std::move(Message), KeepOpen);
+  if (Goal)
+    Shared.GoalLag.observe(steadyNow() - *Goal);
 }
 
 void RequestRun::reportCrash(const CallerAnswer &Answer) const {
--- a/balsamyard/src/Request/RequestRun.h
+++ b/balsamyard/src/Request/RequestRun.h
@@ -3,6 +3,7 @@
 #include "balsamyard/src/Connection/ServerConnection.h"
 #include "balsamyard/src/Connection/TargetChannel.h"
 #include "balsamyard/src/Connection/TargetProtocol.h"
+#include "balsamyard/src/Core/LatencyQuantile.h"
 #include "balsamyard/src/Core/RefCounted.h"
 #include "balsamyard/src/Request/Scatter.h"
 #include "balsamyard/src/Version/RcuCell.h"
@@ -27,10 +28,22 @@
   Metrics &Counters;
   std::atomic<std::uint32_t> &InFlight; ///< Of the process.
   std::uint64_t NextSeed = 0;
+
   std::string ThreadLabel; ///< Of this thread's metrics.
 
   /// May be called from any thread.
   std::function<void(RequestCrashEvent)> OnCrashEvent;
+
+  /// When the thread is next due to check its connections. If that is overdue,
+  /// a request that is read now may have waited for as long.
+  TimePoint NextTick{};
+
+  /// Time by which answers that were due at their goal left later. A busy VM
+  /// needs it to handle the timer, to merge the parts and to send the answer.
+  LatencyQuantile GoalLag{0.8, std::chrono::milliseconds(1)};
+
+  /// A longer lag is an exception, such as a pause of the whole VM.
+  static constexpr Duration MaxGoalLag = std::chrono::milliseconds(30);
 };
 
 /// \brief Maximum number of requests in flight in the process. Each holds its
--- a/balsamyard/src/Request/Scatter.cpp
+++ b/balsamyard/src/Request/Scatter.cpp
@@ -16,6 +16,9 @@
 /// do.
 constexpr Duration MinHedgeDelay = std::chrono::milliseconds(3);
 
+/// Time reserved for the answer to a hedge, as a multiple of the median.
+constexpr int HedgeReserve = 2;
+
 /// Minimum time between two checks for late attempts; each wake-up costs
 /// processor time.
 constexpr Duration MinCheckInterval = std::chrono::milliseconds(4);
@@ -104,6 +107,9 @@
                      ScatterEffects &Effects) {
   if (this->Finished)
     return;
+  const auto *Answered = std::get_if<AttemptAnswered>(&Event);
+  const bool Completed =
+      Answered != nullptr && Answered->Answer.Kind == AnswerKind::Complete;
   std::visit([&](auto &Alternative) { this->on(Alternative, Now, Effects); },
              Event);
   // AttemptSent is reported while the effects of an earlier event are still
@@ -111,12 +117,18 @@
   if (std::holds_alternative<AttemptSent>(Event))
     return;
   this->checkEnd(Now, Effects);
-  if (!this->Finished)
+  this->EndedAtGoal =
+      this->Finished && this->isSharded() && Now < this->Input.Deadline &&
+      std::holds_alternative<ScatterTimeReached>(Event) && this->coverageMet();
+  // A complete answer makes no wake-up due earlier, and scheduling after each
+  // of hundreds of answers would cost more than the answers.
+  if (!this->Finished && !Completed)
     this->scheduleWake(Now, Effects);
 }
 
 void Scatter::on(const ScatterStarted &, TimePoint Now,
                  ScatterEffects &Effects) {
+  this->TimeToGoal = this->Input.GoalTime - Now;
   this->Stats.Requests.fetch_add(1, std::memory_order_relaxed);
   for (std::uint32_t ShardIndex = 0; ShardIndex < this->Shards.size();
        ++ShardIndex) {
@@ -315,6 +327,7 @@
     ++this->Counts.Answered;
     if (Answered.Hedge)
       ++this->Counts.HedgesWon;
+    this->noteOvertaken(Answered.Shard, Now);
     return;
   case AnswerKind::NotExecuted:
     this->SawNotExecuted = true;
@@ -328,6 +341,19 @@
                        Effects);
 }
 
+void Scatter::noteOvertaken(std::uint32_t ShardIndex, TimePoint Now) const {
+  if (this->Shards[ShardIndex].OpenCount == 0)
+    return;
+  // A target that hangs would otherwise be known for it only at the deadline.
+  const auto Slow = Duration(static_cast<std::int64_t>(
+      KnownTarget::ReportedSlowness *
+      static_cast<double>(this->Stats.Median.value().count())));
+  for (const Attempt &Open : this->Attempts)
+    if (Open.Shard == ShardIndex && Open.State == AttemptState::Sent &&
+        Now - Open.StateSince >= Slow)
+      Open.Target->noteSlow(Now);
+}
+
 void Scatter::on(const AttemptLost &Event, TimePoint Now,
                  ScatterEffects &Effects) {
   Attempt &Ended = this->Attempts[Event.Attempt];
@@ -360,7 +386,13 @@
 }
 
 Duration Scatter::hedgeDelay() const {
-  return std::max(this->Stats.HedgeDelay.value(), MinHedgeDelay);
+  // While many targets are slow, the quantile rises to their answer time. A
+  // hedge that is sent so late that it answers after the goal is useless.
+  const Duration Median = this->Stats.Median.value();
+  const Duration LatestUseful = this->TimeToGoal - HedgeReserve * Median;
+  return std::max({std::min(this->Stats.HedgeDelay.value(), LatestUseful),
+                   std::min(this->Stats.HedgeDelay.value(), Median),
+                   MinHedgeDelay});
 }
 
 void Scatter::on(const ScatterTimeReached &, TimePoint Now,
--- a/balsamyard/src/Request/Scatter.h
+++ b/balsamyard/src/Request/Scatter.h
@@ -112,6 +112,13 @@
 
   bool finished() const { return this->Finished; }
 
+  /// \returns the goal of a request that ended because it was reached, with the
+  /// answers that were there.
+  std::optional<TimePoint> endedAtGoal() const {
+    return this->EndedAtGoal ? std::optional(this->Input.GoalTime)
+                             : std::nullopt;
+  }
+
   /// \returns the outcome of a finished request. Call once.
   CallerAnswer takeOutcome();
 
@@ -200,6 +207,7 @@
   void checkLate(TimePoint Now, ScatterEffects &Effects);
   void moveQueuedAttempt(AttemptIndex Index, TimePoint Now,
                          ScatterEffects &Effects);
+  void noteOvertaken(std::uint32_t ShardIndex, TimePoint Now) const;
   void closeAttempt(Attempt &Closed, AttemptResult Result, TimePoint Now);
   void recordMoveTraffic(const Attempt &Closed, TimePoint Now) const;
   void checkEnd(TimePoint Now, ScatterEffects &Effects);
@@ -215,12 +223,14 @@
   const ShardedDestination *Sharded = nullptr;
   RouteStats &Stats;
   RandomGenerator Random;
+  Duration TimeToGoal{}; ///< At the start of the request.
   std::vector<ShardProgress> Shards;
   std::vector<Attempt> Attempts;
   std::uint32_t OpenShards = 0;
   std::uint32_t MayHaveRun = 0; ///< Attempts that may have run.
   bool SawNotExecuted = false;
   bool Finished = false;
+  bool EndedAtGoal = false;
   std::optional<HttpResponse> LastFailure; ///< The target may have run it.
   CallerAnswer Outcome;
   ScatterCounts Counts;
--- a/balsamyard/src/Version/KnownTarget.cpp
+++ b/balsamyard/src/Version/KnownTarget.cpp
@@ -26,6 +26,16 @@
 }
 
 double KnownTarget::slowness(TimePoint Now) const {
+  const double Observed = this->observedSlowness(Now);
+  const std::int64_t Reported =
+      this->ReportedSlowMicros.load(std::memory_order_relaxed);
+  const bool ReportCounts =
+      toMicros(Now) - Reported < ReportLifetime.count() &&
+      Reported > this->ObservedAtMicros.load(std::memory_order_relaxed);
+  return ReportCounts ? std::max(Observed, ReportedSlowness) : Observed;
+}
+
+double KnownTarget::observedSlowness(TimePoint Now) const {
   const double Excess = this->Slowness.load(std::memory_order_relaxed) - 1;
   const double Idle = static_cast<double>(
       toMicros(Now) - this->ObservedAtMicros.load(std::memory_order_relaxed));
@@ -35,7 +45,7 @@
 }
 
 void KnownTarget::addSlowness(double Value, TimePoint Now) {
-  const double Former = this->slowness(Now);
+  const double Former = this->observedSlowness(Now);
   this->Slowness.store(Former + ObservationWeight * (Value - Former),
                        std::memory_order_relaxed);
   this->ObservedAtMicros.store(toMicros(Now), std::memory_order_relaxed);
@@ -46,10 +56,13 @@
       static_cast<double>(Latency.count()) /
       static_cast<double>(std::max<std::int64_t>(Usual.count(), 1));
   this->addSlowness(std::min(Ratio, MaxSlowness), Now);
+  if (Ratio >= ReportedSlowness)
+    this->noteSlow(Now);
 }
 
 void KnownTarget::observeFailure(TimePoint Now) {
   this->addSlowness(MaxSlowness, Now);
+  this->noteSlow(Now);
 }
 
 void KnownTarget::reportLoad(std::uint32_t Running, std::uint32_t Waiting,
--- a/balsamyard/src/Version/KnownTarget.h
+++ b/balsamyard/src/Version/KnownTarget.h
@@ -64,6 +64,14 @@
   /// within the time of a few requests.
   static constexpr Duration LoadLifetime = std::chrono::milliseconds(300);
 
+  /// \brief An answer that takes this many times the usual time, or none within
+  /// it, is reported to other nodes.
+  static constexpr double ReportedSlowness = 3;
+
+  /// \brief How long a report of another node counts. A pause of the target is
+  /// over by then; a target that stays slow is reported again.
+  static constexpr Duration ReportLifetime = std::chrono::seconds(3);
+
   AdminState adminState() const {
     return this->CurrentAdminState.load(std::memory_order_relaxed);
   }
@@ -126,10 +134,31 @@
   /// \brief Records a failure, which counts as an answer of MaxSlowness.
   void observeFailure(TimePoint Now);
 
+  /// \brief Records that a later request to another target was answered first,
+  /// or that the answer was slow. \sa slowSeenAt
+  void noteSlow(TimePoint Now) {
+    this->SlowSeenMicros.store(Now.time_since_epoch().count(),
+                               std::memory_order_relaxed);
+  }
+
+  /// \returns when this process last found the target slow.
+  TimePoint slowSeenAt() const {
+    return TimePoint(
+        Duration(this->SlowSeenMicros.load(std::memory_order_relaxed)));
+  }
+
+  /// \brief Records that another node found the target slow.
+  void reportSlow(TimePoint Now) {
+    this->ReportedSlowMicros.store(Now.time_since_epoch().count(),
+                                   std::memory_order_relaxed);
+  }
+
   /// \brief Stores the load that the target reported.
   void reportLoad(std::uint32_t Running, std::uint32_t Waiting, TimePoint Now);
 
-  /// \returns how many times slower than usual the target is.
+  /// \returns how many times slower than usual the target is, by the answers
+  /// that this process has seen or, unless one came later, by reports of other
+  /// nodes.
   double slowness(TimePoint Now) const;
 
   /// \returns the reported number of running and waiting requests, which
@@ -138,6 +167,7 @@
 
 private:
   void addSlowness(double Value, TimePoint Now);
+  double observedSlowness(TimePoint Now) const;
 
   std::atomic<AdminState> CurrentAdminState{AdminState::Serving};
   std::atomic<Reach> CurrentReach{Reach::Up};
@@ -148,6 +178,8 @@
   std::atomic<std::uint32_t> Late{0};
   std::atomic<double> Slowness{1};
   std::atomic<std::int64_t> ObservedAtMicros{0};
+  std::atomic<std::int64_t> SlowSeenMicros{0};
+  std::atomic<std::int64_t> ReportedSlowMicros{0};
   std::atomic<std::uint32_t> ReportedLoad{0};
   std::atomic<std::int64_t> ReportedAtMicros{0};
 };
--- a/tests/path/DiscoveryTest.cpp
+++ b/tests/path/DiscoveryTest.cpp
@@ -46,7 +46,7 @@
 SCENARIO("targets come and go", "[discovery]") {
   TimePoint Now{1000 * Second};
   Discovery Fleet(settings());
-  Fleet.configure(configuration(7));
+  Fleet.configure(configuration(7), Now);
   Fleet.announce(announcement("one"), Now);
   Fleet.announce(announcement("two", "west"), Now);
   REQUIRE(servingTargets(Fleet) == 2);
@@ -65,25 +65,25 @@
       Fleet.markStoreUnstable(Now - Second);
       Fleet.withdraw(TargetId{"one"}, Now);
       THEN("it is used until its entry could have come back") {
-        Fleet.expire(Now + 2 * Second);
+        Fleet.update(Now + 2 * Second);
         CHECK(servingTargets(Fleet) == 2);
-        Fleet.expire(Now + 3 * Second);
+        Fleet.update(Now + 3 * Second);
         CHECK(servingTargets(Fleet) == 1);
       }
     }
     Fleet.withdraw(TargetId{"one"}, Now);
     THEN("it is removed within the drain time") {
-      REQUIRE(Fleet.nextExpiry());
+      REQUIRE(Fleet.nextUpdate(Now));
       // The event may have been delayed by this much.
-      CHECK(*Fleet.nextExpiry() + ObjectFeed::MaxWatchDelay <
+      CHECK(*Fleet.nextUpdate(Now) + ObjectFeed::MaxWatchDelay <
             Now + settings().Bounds.DrainTime);
-      Fleet.expire(*Fleet.nextExpiry());
+      Fleet.update(*Fleet.nextUpdate(Now));
       CHECK(servingTargets(Fleet) == 1);
     }
     WHEN("the entry comes back") {
       Fleet.announce(announcement("one"), Now + Second / 2);
       THEN("the target stays") {
-        Fleet.expire(Now + 10 * Second);
+        Fleet.update(Now + 10 * Second);
         CHECK(servingTargets(Fleet) == 2);
       }
     }
@@ -107,8 +107,8 @@
     // A list that lacks an object reports its removal; see ObjectCacheTest.
     Fleet.withdraw(TargetId{"one"}, Now);
     THEN("that target is withdrawn") {
-      REQUIRE(Fleet.nextExpiry());
-      Fleet.expire(*Fleet.nextExpiry());
+      REQUIRE(Fleet.nextUpdate(Now));
+      Fleet.update(*Fleet.nextUpdate(Now));
       CHECK(servingTargets(Fleet) == 1);
     }
   }
@@ -169,7 +169,7 @@
       }
     }
     Config->index();
-    Fleet.configure(Config);
+    Fleet.configure(Config, TimePoint{});
     Fleet.setNodes(Nodes);
     const Ref<const FleetView> View = Fleet.build();
     for (const ServiceEntry &Service : View->Services) {
@@ -194,9 +194,9 @@
 SCENARIO("configurations only go forward", "[discovery]") {
   Discovery Fleet(settings());
   CHECK_FALSE(Fleet.canServe());
-  CHECK(Fleet.configure(configuration(7)));
-  CHECK_FALSE(Fleet.configure(configuration(6)));
-  CHECK_FALSE(Fleet.configure(configuration(7)));
-  CHECK(Fleet.configure(configuration(9)));
+  CHECK(Fleet.configure(configuration(7), TimePoint{}));
+  CHECK_FALSE(Fleet.configure(configuration(6), TimePoint{}));
+  CHECK_FALSE(Fleet.configure(configuration(7), TimePoint{}));
+  CHECK(Fleet.configure(configuration(9), TimePoint{}));
   CHECK(Fleet.build()->Config->Version == ConfigVersion{9});
 }
--- a/tests/path/FeedRelayTest.cpp
+++ b/tests/path/FeedRelayTest.cpp
@@ -33,9 +33,13 @@
   asio::executor_work_guard<asio::io_context::executor_type> Work =
       asio::make_work_guard(Io);
   ObjectCache Known;
-  FeedRelay Relay{Io, Known};
+  std::vector<SlowTargets> Reports;
+  FeedRelay Relay{Io, Known, [this](const SlowTargets &Report) {
+                    Reports.push_back(Report);
+                  }};
   ObjectCache Received;
   std::vector<bool> States;
+  std::vector<SlowTargets> SlowReceived;
   int Ends = 0;
   std::unique_ptr<FeedSubscription> Subscription =
       std::make_unique<FeedSubscription>(
@@ -44,6 +48,9 @@
                   [this](const FeedSourceState &State) {
                     States.push_back(State.Connected);
                   },
+                  [this](const SlowTargets &Report) {
+                    SlowReceived.push_back(Report);
+                  },
                   [this] { ++Ends; }});
 
   TwoNodes() {
@@ -104,6 +111,19 @@
     Nodes.runUntil([&] { return !Nodes.States.back(); });
     THEN("it learns so") { CHECK_FALSE(Nodes.States.back()); }
   }
+  WHEN("both report slow targets") {
+    const TargetId Slow{"i-1"};
+    Nodes.Subscription->report(Nodes.Relay.local(), {{Slow}, false});
+    Nodes.Relay.sendSlow({{Slow, TargetId{"i-2"}}, true});
+    Nodes.runUntil(
+        [&] { return !Nodes.Reports.empty() && !Nodes.SlowReceived.empty(); });
+    THEN("the reports arrive") {
+      CHECK(Nodes.Reports[0].Targets == std::vector<TargetId>{Slow});
+      CHECK_FALSE(Nodes.Reports[0].Forwarded);
+      CHECK(Nodes.SlowReceived[0].Targets.size() == 2);
+      CHECK(Nodes.SlowReceived[0].Forwarded);
+    }
+  }
   WHEN("the other one stops") {
     Nodes.Relay.stop();
     Nodes.runUntil([&] { return Nodes.Ends > 0; });
--- a/tests/path/ScatterTest.cpp
+++ b/tests/path/ScatterTest.cpp
@@ -369,3 +369,62 @@
     }
   }
 }
+
+// Guards against hedges that answer after the goal: with a part of the targets
+// slow, the quantile after which hedges are sent rises to their answer time.
+SCENARIO("hedges are sent while they can still meet the goal", "[scatter]") {
+  PathWorld World(shardedRoute());
+  const ServiceNumber Service = World.addService("s1");
+  std::get<ShardedDestination>(World.Config->Routes[0].To).Shards = {Service};
+  World.addTarget(Service, "one");
+  World.addTarget(Service, "two");
+  World.input();
+  RouteStats &Stats = *World.View->Stats[0];
+  // A fifth of the answers takes eight times as long.
+  for (int Count = 0; Count < 4000; ++Count) {
+    const Duration Took = (Count % 5 == 0 ? 8 : 1) * 25 * Millisecond;
+    Stats.Median.observe(Took);
+    Stats.HedgeDelay.observe(Took);
+  }
+  REQUIRE(Stats.HedgeDelay.value() > 150 * Millisecond);
+
+  GIVEN("a request whose target does not answer") {
+    RunningRequest Run(World);
+    Run.startAndSend();
+    REQUIRE(Run.all<WakeScatter>().empty());
+    bool Hedged = false;
+    const TimePoint Began = World.Now;
+    while (!Hedged && World.Now - Began < 200 * Millisecond) {
+      Run.pass(5 * Millisecond);
+      Run.tell(ScatterTimeReached{});
+      Hedged = !Run.all<SubmitAttempt>().empty();
+    }
+    THEN("the hedge leaves time for its answer before the goal of 200 ms") {
+      REQUIRE(Hedged);
+      CHECK(World.Now - Began <= 155 * Millisecond);
+    }
+  }
+}
+
+// Guards against a target that hangs and is known for it only when the time of
+// the request is over.
+SCENARIO("a target that a hedge overtakes is noted as slow", "[scatter]") {
+  PathWorld World(shardedRoute());
+  const ServiceNumber Service = World.addService("s1");
+  std::get<ShardedDestination>(World.Config->Routes[0].To).Shards = {Service};
+  World.addTarget(Service, "one");
+  World.addTarget(Service, "two");
+  RunningRequest Run(World);
+  const std::vector<AttemptIndex> First = Run.startAndSend();
+  REQUIRE(First.size() == 1);
+  KnownTarget &Hanging = Run.Decisions.targetOf(First[0]);
+  Run.pass(100 * Millisecond);
+  Run.tell(ScatterTimeReached{});
+  REQUIRE(Run.all<SubmitAttempt>().size() == 1);
+  const AttemptIndex Hedge = Run.all<SubmitAttempt>()[0].Attempt;
+  Run.tell(AttemptSent{Hedge});
+  CHECK(Hanging.slowSeenAt() == TimePoint{});
+  Run.pass(20 * Millisecond);
+  Run.answer(Hedge, "receipt");
+  CHECK(Hanging.slowSeenAt() == World.Now);
+}
