Drop heartbeats of cold targets before they reach followers

Cause: the entry of a cold target changes with each of its heartbeats, as its warm-up goes on. Change: a node that reads the store drops a change that says nothing new: same target, same state, and a warm-up that ends within 0.5 s of what is known. Test: further heartbeats of a warm-up are current; another warm-up, leaving, another start and a withdrawn entry are not.

--- a/balsamyard/src/Process/Discovery.cpp
+++ b/balsamyard/src/Process/Discovery.cpp
@@ -42,6 +42,10 @@
 /// reserved for nodes that have started but are not counted yet.
 constexpr double RetrySlackFraction = 0.9;
 
+/// Difference between two statements of the end of a warm-up that entries of
+/// the same warm-up have, as they arrive with different delays.
+constexpr Duration WarmupTolerance = std::chrono::milliseconds(500);
+
 /// The initial estimate of a route's median latency is its latency goal divided
 /// by this.
 constexpr int InitialMedianDivisor = 8;
@@ -119,11 +123,32 @@
              : Distance::OtherRegion;
 }
 
-void Discovery::announce(const TargetAnnouncement &Announcement,
-                         TimePoint Now) {
+TargetInfo Discovery::localInfo(const TargetAnnouncement &Announcement) const {
   TargetInfo Info = Announcement.Info;
   Info.Region = this->regionOf(Info.Domain);
   Info.NetworkDistance = this->distanceOf(Info.Domain);
+  return Info;
+}
+
+bool Discovery::isCurrent(const TargetAnnouncement &Announcement,
+                          TimePoint Now) const {
+  const auto Found = this->Targets.find(Announcement.Info.Id);
+  if (Found == this->Targets.end())
+    return false;
+  const Entry &Target = Found->second;
+  if (Target.ExpiresAt || Target.Leaving != Announcement.Leaving ||
+      !(Target.State->Info == this->localInfo(Announcement)))
+    return false;
+  if (Announcement.RemainingWarmup <= Duration::zero())
+    return true;
+  const Duration Difference =
+      Now + Announcement.RemainingWarmup - Target.State->coldUntil();
+  return Difference <= WarmupTolerance && Difference >= -WarmupTolerance;
+}
+
+void Discovery::announce(const TargetAnnouncement &Announcement,
+                         TimePoint Now) {
+  const TargetInfo Info = this->localInfo(Announcement);
   Entry &Target = this->Targets[Info.Id];
   const bool IsNew = !Target.State || !(Target.State->Info == Info);
   if (IsNew) {
--- a/balsamyard/src/Process/Discovery.h
+++ b/balsamyard/src/Process/Discovery.h
@@ -33,6 +33,10 @@
   /// \brief Adds a target or applies its changed announcement.
   void announce(const TargetAnnouncement &Announcement, TimePoint Now);
 
+  /// \returns whether \p Announcement says nothing new. The entry of a cold
+  /// target changes with each of its heartbeats, as its warm-up goes on.
+  bool isCurrent(const TargetAnnouncement &Announcement, TimePoint Now) const;
+
   /// \brief Starts the grace period of a target whose announcement was
   /// removed. The target is used until the period ends, because entries also
   /// disappear during an outage of the store and come back.
@@ -102,6 +106,7 @@
     bool Leaving = false;
   };
 
+  TargetInfo localInfo(const TargetAnnouncement &Announcement) const;
   void updateAdminState(Entry &Target);
   Ref<MoveTraffic> moveOf(const ServiceName &Service) const;
   Distance distanceOf(const DomainName &Domain) const;
--- a/balsamyard/src/Process/FleetAgent.cpp
+++ b/balsamyard/src/Process/FleetAgent.cpp
@@ -189,8 +189,23 @@
   this->Relay.setState(Connected, this->UnstableSince);
 }
 
+void FleetAgent::dropHeartbeats(KindUpdate &Update) const {
+  // A complete list says which objects are gone, so it stays whole.
+  if (Update.Kind != ObjectKind::Targets || Update.Complete)
+    return;
+  const TimePoint Now = steadyNow();
+  std::erase_if(Update.Changes, [&](const ObjectChange &Change) {
+    if (Change.Removed)
+      return false;
+    const Expected<TargetAnnouncement> Read =
+        this->Adapter.ReadTarget(Change.Object);
+    return Read && this->Fleet.isCurrent(*Read, Now);
+  });
+}
+
 void FleetAgent::onUpdate(KindUpdate Update) {
   const ObjectKind Kind = Update.Kind;
+  this->dropHeartbeats(Update);
   const std::vector<ObjectChange> Changes =
       this->Objects.update(std::move(Update));
   for (const ObjectChange &Change : Changes)
--- a/balsamyard/src/Process/FleetAgent.h
+++ b/balsamyard/src/Process/FleetAgent.h
@@ -56,6 +56,10 @@
 
 private:
   void onUpdate(KindUpdate Update);
+
+  /// \brief Drops changes of targets that say nothing new, so that they reach
+  /// no follower.
+  void dropHeartbeats(KindUpdate &Update) const;
   void onPeerState(const FeedSourceState &State);
   void onStoreConnection();
   void setPeers(std::vector<PeerNode> Nodes);
--- a/balsamyard/src/Version/KnownTarget.h
+++ b/balsamyard/src/Version/KnownTarget.h
@@ -100,6 +100,10 @@
     this->ColdUntilMicros.store(Until.time_since_epoch().count(),
                                 std::memory_order_relaxed);
   }
+  TimePoint coldUntil() const {
+    return TimePoint(
+        Duration(this->ColdUntilMicros.load(std::memory_order_relaxed)));
+  }
   bool isCold(TimePoint Now) const {
     return Now.time_since_epoch().count() <
            this->ColdUntilMicros.load(std::memory_order_relaxed);
--- a/tests/path/DiscoveryTest.cpp
+++ b/tests/path/DiscoveryTest.cpp
@@ -130,6 +130,24 @@
     Cold.RemainingWarmup = 3 * Second;
     Fleet.announce(Cold, Now);
     const Ref<const FleetView> View = Fleet.build();
+    THEN("further heartbeats of its warm-up say nothing new") {
+      TargetAnnouncement Next = Cold;
+      Next.RemainingWarmup = 1800 * Millisecond;
+      CHECK(Fleet.isCurrent(Next, Now + 1300 * Millisecond));
+      Next.RemainingWarmup = Duration::zero();
+      CHECK(Fleet.isCurrent(Next, Now + 4 * Second));
+    }
+    THEN("another warm-up, its leaving and another start are new") {
+      TargetAnnouncement Next = Cold;
+      CHECK_FALSE(Fleet.isCurrent(Next, Now + 2 * Second));
+      Next.RemainingWarmup = Second;
+      Next.Leaving = true;
+      CHECK_FALSE(Fleet.isCurrent(Next, Now + 2 * Second));
+      Next = announcement("one", "east", 2);
+      CHECK_FALSE(Fleet.isCurrent(Next, Now));
+      Fleet.withdraw(TargetId{"one"}, Now);
+      CHECK_FALSE(Fleet.isCurrent(Cold, Now));
+    }
     THEN("it is cold for as long as it says") {
       CHECK(View->Services[0].Targets[0]->isCold(Now + 2 * Second));
       CHECK_FALSE(View->Services[0].Targets[0]->isCold(Now + 4 * Second));
