Let the nodes with the most processor time read the store

The log of the node (front-pos-b-11) shows a reader with 0.12 cores that the store had turned away from 2.5 to 11.7 s. It then worked through some 2,000 changed targets at 200 to 490 a second and read the announcement of 12.8 s at 21.1 s. Three VMs of each failure domain have 0.5 cores, but the first three by name were taken. Change: entries of nodes carry the processor time of the VM, readers are those with the most of it, and the name of an entry sorts the strongest first, so that one page still finds them. Ruled out: a lost event (it arrived late, not never); the watch (it had answered). Test: nodes with different processor time; failed before (no capacity known).

--- a/balsamyard/src/Process/FeedSource.cpp
+++ b/balsamyard/src/Process/FeedSource.cpp
@@ -4,19 +4,32 @@
 #include <iterator>
 #include <map>
 #include <set>
+#include <tuple>
 #include <xxhash.h>
 
 namespace balsamyard {
 
 namespace {
 
+/// \returns the nodes that read the store, given all nodes.
+std::set<NodeName> readersAmong(std::vector<PeerNode> Nodes) {
+  std::sort(Nodes.begin(), Nodes.end(),
+            [](const PeerNode &Left, const PeerNode &Right) {
+              return std::tie(Right.Capacity, Left.Node) <
+                     std::tie(Left.Capacity, Right.Node);
+            });
+  std::map<DomainName, std::size_t> Chosen;
+  std::set<NodeName> Result;
+  for (const PeerNode &Node : Nodes)
+    if (Chosen[Node.Domain]++ < FeedSource::ReadersPerDomain)
+      Result.insert(Node.Node);
+  return Result;
+}
+
 /// \returns the number of nodes that act before \p Self.
-std::uint32_t
-rankAmong(const std::map<DomainName, std::set<NodeName>> &ReadersByDomain,
-          const std::vector<PeerNode> &Nodes, const NodeName &Self) {
-  std::set<NodeName> Readers;
-  for (const auto &[Domain, Names] : ReadersByDomain)
-    Readers.insert(Names.begin(), Names.end());
+std::uint32_t rankAmong(const std::set<NodeName> &Readers,
+                        const std::vector<PeerNode> &Nodes,
+                        const NodeName &Self) {
   if (const auto Found = Readers.find(Self); Found != Readers.end())
     return static_cast<std::uint32_t>(std::distance(Readers.begin(), Found));
   const auto Before =
@@ -29,8 +42,8 @@
 
 } // namespace
 
-FeedSource::FeedSource(NodeName Self, DomainName Domain, std::uint64_t Seed)
-    : Self(std::move(Self)), Domain(std::move(Domain)), Random(Seed) {}
+FeedSource::FeedSource(PeerNode Self, std::uint64_t Seed)
+    : Self(std::move(Self)), Random(Seed) {}
 
 FeedSourceEffects FeedSource::handle(const FeedSourceEvent &Event,
                                      TimePoint Now) {
@@ -41,23 +54,23 @@
 }
 
 void FeedSource::chooseReaders(std::vector<PeerNode> Nodes) {
-  std::map<DomainName, std::set<NodeName>> First;
-  First[this->Domain].insert(this->Self);
-  for (const PeerNode &Node : Nodes)
-    First[Node.Domain].insert(Node.Node);
-  for (auto &[Domain, Names] : First)
-    while (Names.size() > ReadersPerDomain)
-      Names.erase(std::prev(Names.end()));
-  this->Reader = First[this->Domain].contains(this->Self);
-  this->Rank = rankAmong(First, Nodes, this->Self);
-  std::erase_if(Nodes, [&](const PeerNode &Node) {
-    return Node.Node == this->Self || !First[Node.Domain].contains(Node.Node);
+  // The list may be older than the entry of this node.
+  std::erase_if(Nodes, [this](const PeerNode &Node) {
+    return Node.Node == this->Self.Node;
+  });
+  std::vector<PeerNode> All = Nodes;
+  All.push_back(this->Self);
+  const std::set<NodeName> Chosen = readersAmong(All);
+  this->Reader = Chosen.contains(this->Self.Node);
+  this->Rank = rankAmong(Chosen, All, this->Self.Node);
+  std::erase_if(Nodes, [&Chosen](const PeerNode &Node) {
+    return !Chosen.contains(Node.Node);
   });
   // Each node has an order of its own, which spreads the followers evenly; the
   // readers of its failure domain come first.
   const auto Weight = [this](const PeerNode &Node) {
-    const std::string Key = this->Self.Text + "\n" + Node.Node.Text;
-    return std::pair(Node.Domain != this->Domain,
+    const std::string Key = this->Self.Node.Text + "\n" + Node.Node.Text;
+    return std::pair(Node.Domain != this->Self.Domain,
                      XXH3_64bits(Key.data(), Key.size()));
   };
   std::sort(Nodes.begin(), Nodes.end(),
@@ -71,7 +84,7 @@
 std::vector<PeerNode> FeedSource::domainReaders() const {
   std::vector<PeerNode> Result;
   for (const PeerNode &Node : this->Readers)
-    if (Node.Domain == this->Domain)
+    if (Node.Domain == this->Self.Domain)
       Result.push_back(Node);
   return Result;
 }
--- a/balsamyard/src/Process/FeedSource.h
+++ b/balsamyard/src/Process/FeedSource.h
@@ -16,6 +16,7 @@
   NodeName Node;
   DomainName Domain;
   Endpoint Peers;
+  std::uint32_t Capacity = 0; ///< \sa NodeSettings::Capacity
 
   auto operator<=>(const PeerNode &) const = default;
 };
@@ -67,10 +68,11 @@
 /// itself, or from another node.
 ///
 /// Answers the load of hundreds of nodes that all watch the store: each call is
-/// charged, a waiting one too, and each change wakes every watcher. The first
-/// nodes of each failure domain read the store and pass it on; the others
-/// follow one of them. No agreement is needed: a node that finds no reader
-/// reads the store itself, which is always correct.
+/// charged, a waiting one too, and each change wakes every watcher. The nodes
+/// with the most processor time of each failure domain, among equals the first
+/// by name, read the store and pass it on; the others follow one of them. No
+/// agreement is needed: a node that finds no reader reads the store itself,
+/// which is always correct.
 class FeedSource {
 public:
   /// Nodes of each failure domain that read the store.
@@ -99,7 +101,8 @@
   /// Pause before a node that reads the store itself looks for a reader again.
   static constexpr Duration ReturnPause = std::chrono::seconds(5);
 
-  FeedSource(NodeName Self, DomainName Domain, std::uint64_t Seed);
+  /// \p Self is the entry of this node.
+  FeedSource(PeerNode Self, std::uint64_t Seed);
 
   FeedSourceEffects handle(const FeedSourceEvent &Event, TimePoint Now);
 
@@ -142,8 +145,7 @@
   void scheduleWake(FeedSourceEffects &Out) const;
   Duration withJitter(Duration Pause);
 
-  const NodeName Self;
-  const DomainName Domain;
+  const PeerNode Self;
   RandomGenerator Random;
   std::vector<PeerNode> Readers; ///< Of other nodes, best first.
   std::size_t Next = 0;          ///< Index of the reader to follow next.
--- a/balsamyard/src/Process/FleetAgent.cpp
+++ b/balsamyard/src/Process/FleetAgent.cpp
@@ -23,7 +23,7 @@
                        std::function<void()> OnPublished)
     : Settings(Settings), Adapter(Adapter), View(View),
       OnPublished(std::move(OnPublished)), Fleet(Settings),
-      Source(Settings.Node, Settings.Domain, std::random_device()()),
+      Source(peerNode(Settings), std::random_device()()),
       Reader(Context, Settings, Adapter,
              {[this](KindUpdate Update) { this->onUpdate(std::move(Update)); },
               [this] { this->onStoreConnection(); }}),
--- a/balsamyard/src/Process/NodeRegistry.cpp
+++ b/balsamyard/src/Process/NodeRegistry.cpp
@@ -2,7 +2,9 @@
 
 #include "balsamyard/src/Core/Log.h"
 
+#include <algorithm>
 #include <charconv>
+#include <limits>
 #include <random>
 #include <utility>
 
@@ -10,9 +12,13 @@
 
 namespace {
 
-/// Separates the failure domain from the node in the name of an entry.
+/// Separates the parts of the name of an entry.
 constexpr char EntrySeparator = '.';
 
+/// Larger capacities are equal in the order of the entries.
+constexpr std::uint32_t MaxListedCapacity = 99'999;
+constexpr std::size_t CapacityDigits = 5;
+
 std::string textField(const nlohmann::json &Content, const char *Name,
                       const std::string &Default = {}) {
   if (!Content.is_object())
@@ -37,19 +43,28 @@
   return Result;
 }
 
-std::uint64_t heartbeatOf(const StoredObject &Object) {
-  if (!Object.Content.is_object())
+std::uint64_t numberField(const nlohmann::json &Content, const char *Name) {
+  if (!Content.is_object())
     return 0;
-  const auto Found = Object.Content.find("heartbeat");
-  return Found != Object.Content.end() && Found->is_number_unsigned()
+  const auto Found = Content.find(Name);
+  return Found != Content.end() && Found->is_number_unsigned()
              ? Found->get<std::uint64_t>()
              : 0;
 }
 
 } // namespace
 
-std::string nodeEntryName(const DomainName &Domain, const NodeName &Node) {
-  return Domain.Text + EntrySeparator + Node.Text;
+PeerNode peerNode(const NodeSettings &Settings) {
+  return {Settings.Node, Settings.Domain, Settings.Peers, Settings.Capacity};
+}
+
+std::string nodeEntryName(const PeerNode &Node) {
+  // Names are listed in ascending order.
+  std::string Order = std::to_string(
+      MaxListedCapacity - std::min(Node.Capacity, MaxListedCapacity));
+  Order.insert(0, CapacityDigits - Order.size(), '0');
+  return Node.Domain.Text + EntrySeparator + Order + EntrySeparator +
+         Node.Node.Text;
 }
 
 PeerNode readNodeEntry(const StoredObject &Object) {
@@ -57,6 +72,9 @@
   Result.Node.Text = textField(Object.Content, "node", Object.Name);
   Result.Domain.Text = textField(Object.Content, "domain");
   Result.Peers = readEndpoint(textField(Object.Content, "peers"));
+  Result.Capacity = static_cast<std::uint32_t>(
+      std::min<std::uint64_t>(numberField(Object.Content, "capacity"),
+                              std::numeric_limits<std::uint32_t>::max()));
   return Result;
 }
 
@@ -64,11 +82,10 @@
                            const NodeSettings &Settings,
                            const PlatformAdapter &Adapter, Discovery &Fleet,
                            Handlers Events)
-    : Self(Settings.Node), Domain(Settings.Domain), Peers(Settings.Peers),
-      FirstStart(Settings.FirstStart),
-      EntryName(nodeEntryName(Settings.Domain, Settings.Node)),
-      Adapter(Adapter), Fleet(Fleet), Events(std::move(Events)),
-      Entries(Settings.Node), Calls(Context, Settings.Store), Timer(Context),
+    : Self(peerNode(Settings)), FirstStart(Settings.FirstStart),
+      EntryName(nodeEntryName(this->Self)), Adapter(Adapter), Fleet(Fleet),
+      Events(std::move(Events)), Entries(Settings.Node),
+      Calls(Context, Settings.Store), Timer(Context),
       // A restarted process must not repeat a heartbeat of the former process.
       Heartbeat(std::uint64_t(std::random_device()()) << 20) {}
 
@@ -77,9 +94,10 @@
 }
 
 nlohmann::json NodeRegistry::content() const {
-  return {{"node", this->Self.Text},
-          {"domain", this->Domain.Text},
-          {"peers", toText(this->Peers)},
+  return {{"node", this->Self.Node.Text},
+          {"domain", this->Self.Domain.Text},
+          {"peers", toText(this->Self.Peers)},
+          {"capacity", this->Self.Capacity},
           {"heartbeat", this->Heartbeat}};
 }
 
@@ -116,26 +134,27 @@
 }
 
 void NodeRegistry::findReaders() {
-  this->Calls.call(this->Adapter.StaleListCall(
-                       ObjectKind::Nodes, this->Domain.Text + EntrySeparator),
-                   [this](const Expected<HttpResponse> &Result) {
-                     const FeedInput Read =
-                         Result ? this->Adapter.ReadPage(*Result)
-                                : FeedInput(FeedCallFailed{Result.error()});
-                     const auto *Page = std::get_if<FeedPage>(&Read);
-                     if (Page == nullptr) {
-                       logEvent(LogLevel::Warning, "nodes-not-read",
-                                {{"detail", describeResult(Result)}});
-                       this->scheduleAfter(ObjectFeed::MaxBackoff,
-                                           &NodeRegistry::findReaders);
-                       return;
-                     }
-                     std::vector<PeerNode> Found;
-                     for (const StoredObject &Object : Page->Objects)
-                       Found.push_back(readNodeEntry(Object));
-                     this->Events.OnPeers(std::move(Found));
-                     this->maintain();
-                   });
+  this->Calls.call(
+      this->Adapter.StaleListCall(ObjectKind::Nodes,
+                                  this->Self.Domain.Text + EntrySeparator),
+      [this](const Expected<HttpResponse> &Result) {
+        const FeedInput Read = Result
+                                   ? this->Adapter.ReadPage(*Result)
+                                   : FeedInput(FeedCallFailed{Result.error()});
+        const auto *Page = std::get_if<FeedPage>(&Read);
+        if (Page == nullptr) {
+          logEvent(LogLevel::Warning, "nodes-not-read",
+                   {{"detail", describeResult(Result)}});
+          this->scheduleAfter(ObjectFeed::MaxBackoff,
+                              &NodeRegistry::findReaders);
+          return;
+        }
+        std::vector<PeerNode> Found;
+        for (const StoredObject &Object : Page->Objects)
+          Found.push_back(readNodeEntry(Object));
+        this->Events.OnPeers(std::move(Found));
+        this->maintain();
+      });
 }
 
 void NodeRegistry::maintain() {
@@ -195,7 +214,7 @@
   std::vector<PeerNode> Found;
   for (const StoredObject &Object : Listed) {
     Found.push_back(readNodeEntry(Object));
-    Heartbeats[Found.back().Node] = heartbeatOf(Object);
+    Heartbeats[Found.back().Node] = numberField(Object.Content, "heartbeat");
     EntryNames[Found.back().Node] = Object.Name;
   }
   const TimePoint Now = steadyNow();
--- a/balsamyard/src/Process/NodeRegistry.h
+++ b/balsamyard/src/Process/NodeRegistry.h
@@ -62,9 +62,7 @@
   void removeEntry(const std::string &Name);
   void scheduleAfter(Duration Time, void (NodeRegistry::*Next)());
 
-  const NodeName Self;
-  const DomainName Domain;
-  const Endpoint Peers;
+  const PeerNode Self;
   const bool FirstStart;
   const std::string EntryName;
   const PlatformAdapter &Adapter;
@@ -79,9 +77,12 @@
   bool Recounted = false; ///< Nodes that started together are counted.
 };
 
+/// \returns the entry of the node with these settings.
+PeerNode peerNode(const NodeSettings &Settings);
+
 /// \returns the name of the stored entry of a node. Entries of one failure
-/// domain are listed together.
-std::string nodeEntryName(const DomainName &Domain, const NodeName &Node);
+/// domain are listed together, those with the most processor time first.
+std::string nodeEntryName(const PeerNode &Node);
 
 /// \returns the node in a stored entry.
 PeerNode readNodeEntry(const StoredObject &Object);
--- a/balsamyard/src/Process/NodeSettings.h
+++ b/balsamyard/src/Process/NodeSettings.h
@@ -47,6 +47,9 @@
   Endpoint Peers; ///< Listens for other nodes; port 0 disables it.
   std::uint16_t MetricsPort = 0; ///< On the address for callers; 0 disables.
   std::uint32_t Cores = 1;
+
+  /// Processor time per second, in thousandths of a core.
+  std::uint32_t Capacity = 1000;
   bool FirstStart = false; ///< The whole system starts for the first time.
   FleetBounds Bounds;
 };
--- a/tests/path/FeedSourceTest.cpp
+++ b/tests/path/FeedSourceTest.cpp
@@ -1,4 +1,5 @@
 #include "balsamyard/src/Process/FeedSource.h"
+#include "balsamyard/src/Process/NodeRegistry.h"
 #include "balsamyard/src/Process/StoreProbe.h"
 #include "tests/path/PathWorld.h"
 
@@ -80,7 +81,7 @@
 
   struct Member {
     Member(PeerNode Self, std::uint64_t Seed)
-        : Self(Self), Source(Self.Node, Self.Domain, Seed) {}
+        : Self(Self), Source(Self, Seed) {}
     const PeerNode Self;
     FeedSource Source;
     bool Running = true;
@@ -227,7 +228,7 @@
     WHEN("a node cannot reach any other one") {
       // Its failure domain is cut off from it: all readers look dead to it.
       auto &Alone = Fleet.member("d-130");
-      FeedSource Source(Alone.Self.Node, Alone.Self.Domain, 1);
+      FeedSource Source(Alone.Self, 1);
       TimePoint Now = Fleet.Now;
       FeedSourceEffects Effects = Source.handle(PeersListed{peers(6, 49)}, Now);
       const TimePoint Began = Now;
@@ -257,14 +258,33 @@
     THEN("all read the store") { CHECK(Fleet.readers() == 9); }
   }
   GIVEN("a list that holds no other node") {
-    FeedSource Source(NodeName{"a"}, DomainName{"east"}, 1);
+    FeedSource Source({{"a"}, {"east"}, {}}, 1);
     const auto Effects = Source.handle(PeersListed{}, TimePoint{});
     THEN("the node reads the store") {
       CHECK(find<ReadStore>(Effects) != nullptr);
     }
   }
+  GIVEN("nodes with different processor time") {
+    // Guards against small VMs that fall behind as readers: one with 0.12 cores
+    // learned 8 s late that a target leaves, beside VMs with 0.5 cores.
+    std::vector<PeerNode> Nodes = peers(1, 50);
+    for (PeerNode &Node : Nodes)
+      Node.Capacity = 120;
+    for (std::size_t Strong : {45, 46, 47})
+      Nodes[Strong].Capacity = 500;
+    THEN("those with the most of it read the store, and are listed first") {
+      FeedSource Weak(Nodes[0], 1);
+      CHECK(find<FollowPeer>(Weak.handle(PeersListed{Nodes}, TimePoint{}))
+                ->To.Capacity == 500);
+      FeedSource Strong(Nodes[46], 1);
+      Strong.handle(PeersListed{Nodes}, TimePoint{});
+      CHECK(Strong.isReader());
+      CHECK(nodeEntryName(Nodes[47]) < nodeEntryName(Nodes[0]));
+      CHECK(nodeEntryName(Nodes[47]) > Nodes[47].Domain.Text + ".");
+    }
+  }
   GIVEN("a node that turns out not to be among the first of its domain") {
-    FeedSource Source(NodeName{"a-140"}, DomainName{"a"}, 1);
+    FeedSource Source(peer("a", 40), 1);
     Source.handle(PeersListed{}, TimePoint{});
     REQUIRE(Source.readsStore());
     const auto Effects = Source.handle(PeersListed{peers(2, 50)}, TimePoint{});
--- a/tests/path/PlatformTest.cpp
+++ b/tests/path/PlatformTest.cpp
@@ -57,6 +57,7 @@
 bootstrap: true
 limits:
   cores: 2
+  cpuShare: 0.25
 bounds:
   drainMs: 4000
   retryBudgetRatio: 0.3
@@ -80,6 +81,7 @@
       CHECK(Read->Cores == 2);
       CHECK(toText(Read->Peers) == "10.1.0.9:7380");
       CHECK(Read->FirstStart);
+      CHECK(Read->Capacity == 500);
       CHECK(Read->Bounds.DrainTime == std::chrono::seconds(4));
       CHECK(Read->Bounds.RetryRatio == Approx(0.3));
       CHECK(Read->Bounds.RetryWindow == std::chrono::seconds(10));
