Notice a silent store in time for the followers, and bound interim answers

Change: while others follow it, a reader makes one cheap call a second that has to be answered in 0.8 s; otherwise it reports the loss, and starts its watches anew once the store answers. Ruled out: keep-alive probes (the connection is alive, answers are missing). Cause: interim answers (1xx) without end were read until the deadline of the request, as each began a header section of its own. Change: all interim answers of a response count as its header section.

--- a/balsamyard/src/Connection/HttpParser.cpp
+++ b/balsamyard/src/Connection/HttpParser.cpp
@@ -251,7 +251,13 @@
         Self.Parser.status_code / 100 != 1)
       return Step;
     Before = Step.Consumed;
+    // Interim responses may come without end, so all of them together count as
+    // the header section. Each has a status line at least.
+    constexpr std::size_t StatusLineBytes = 16;
+    const std::size_t HeaderBytes = Self.HeaderBytes + StatusLineBytes;
     Self.reset(HTTP_RESPONSE);
+    if (Self.addHeaderBytes(HeaderBytes) != 0)
+      return {Step.Consumed, Self.Fault};
   }
 }
 
--- a/balsamyard/src/Process/StoreReader.cpp
+++ b/balsamyard/src/Process/StoreReader.cpp
@@ -27,7 +27,8 @@
                          const PlatformAdapter &Adapter, Handlers Events)
     : Context(Context), Store(Settings.Store), Adapter(Adapter),
       Events(std::move(Events)), Probe(std::random_device()()),
-      ProbeChannel(Context, Settings.Store), ProbeTimer(Context) {}
+      ProbeChannel(Context, Settings.Store), ProbeTimer(Context),
+      CheckTimer(Context) {}
 
 StoreReader::~StoreReader() { this->stop(); }
 
@@ -42,9 +43,11 @@
     this->handle(*Item, FeedStarted{Since});
   }
   this->Events.OnConnection();
+  this->scheduleCheck();
 }
 
 void StoreReader::stop() {
+  this->CheckTimer.cancel();
   for (const std::unique_ptr<Feed> &Item : this->Feeds)
     Item->Channel.cancel();
   this->Feeds.clear();
@@ -143,6 +146,37 @@
            {{"kind", std::string(name(From.Kind))}});
 }
 
+void StoreReader::scheduleCheck() {
+  this->CheckTimer.expires_after(CheckInterval);
+  this->CheckTimer.async_wait([this](const asio::error_code &Cancelled) {
+    if (!Cancelled)
+      this->check();
+  });
+}
+
+void StoreReader::check() {
+  // While the store is lost, the probe asks it.
+  if (this->Probe.isLost() || !this->Events.IsFollowed()) {
+    this->scheduleCheck();
+    return;
+  }
+  this->ProbeChannel.call(
+      this->Adapter.StaleListCall(ObjectKind::Evacuations, {}), CheckTimeout,
+      [this](const Expected<HttpResponse> &Result) {
+        if (!Result)
+          this->restartSilentFeeds(Result.error());
+        this->scheduleCheck();
+      });
+}
+
+void StoreReader::restartSilentFeeds(const Error &Cause) {
+  // Connections on which the store fell silent may stay so after its return.
+  for (const std::unique_ptr<Feed> &Item : this->Feeds) {
+    Item->Channel.cancel();
+    this->handle(*Item, FeedCallFailed{Cause});
+  }
+}
+
 void StoreReader::scheduleProbe(Duration After) {
   this->ProbeTimer.expires_after(After);
   this->ProbeTimer.async_wait([this](const asio::error_code &Cancelled) {
@@ -165,6 +199,8 @@
   }
   this->Probe.probeSucceeded(steadyNow());
   logEvent(LogLevel::Info, "store-answers", {});
+  // A check that was under way when the store was lost has been replaced.
+  this->scheduleCheck();
   this->Events.OnConnection();
   for (const std::unique_ptr<Feed> &Item : this->Feeds)
     if (std::exchange(Item->Waiting, false))
--- a/balsamyard/src/Process/StoreReader.h
+++ b/balsamyard/src/Process/StoreReader.h
@@ -26,11 +26,21 @@
   /// delay is harmless: a leaving target keeps serving for seconds.
   static constexpr Duration TargetWatchDelay = std::chrono::milliseconds(300);
 
+  /// How often a cheap call checks that the store still answers while other
+  /// nodes follow this one, and the time in which it must. A watch that waits
+  /// for a change looks the same when the store is silent. Both together leave
+  /// the followers time to turn to another node before a change is overdue.
+  static constexpr Duration CheckInterval = std::chrono::seconds(1);
+  static constexpr Duration CheckTimeout = std::chrono::milliseconds(800);
+
   struct Handlers {
     std::function<void(KindUpdate)> OnUpdate;
 
     /// The store was lost or regained.
     std::function<void()> OnConnection;
+
+    /// \returns whether other nodes follow this one.
+    std::function<bool()> IsFollowed;
   };
 
   StoreReader(asio::io_context &Context, const NodeSettings &Settings,
@@ -70,6 +80,9 @@
   void on(Feed &From, const FeedDisconnected &Output);
   void on(Feed &From, const FeedReconnected &Output);
 
+  void scheduleCheck();
+  void check();
+  void restartSilentFeeds(const Error &Cause);
   void scheduleProbe(Duration After);
   void probe();
   void onProbe(const Expected<HttpResponse> &Result);
@@ -82,6 +95,7 @@
   StoreProbe Probe;
   StoreChannel ProbeChannel;
   asio::steady_timer ProbeTimer;
+  asio::steady_timer CheckTimer;
 };
 
 } // namespace balsamyard
--- a/tests/path/FakeFleet.h
+++ b/tests/path/FakeFleet.h
@@ -13,6 +13,7 @@
 #include <atomic>
 #include <condition_variable>
 #include <future>
+#include <iterator>
 #include <map>
 #include <mutex>
 #include <nlohmann/json.hpp>
@@ -192,6 +193,7 @@
   ~FakeStore() {
     this->Server.stop();
     this->Watchers.clear();
+    this->Forgotten.clear();
   }
 
   std::string address() const { return this->Server.address(); }
@@ -214,6 +216,19 @@
     return Result;
   }
 
+  /// \brief Stops or resumes answering requests. Those that came meanwhile are
+  /// never answered.
+  void setSilent(bool Next) {
+    this->onThread([&] {
+      this->Silent = Next;
+      if (Next)
+        std::move(this->Watchers.begin(), this->Watchers.end(),
+                  std::back_inserter(this->Forgotten));
+      if (Next)
+        this->Watchers.clear();
+    });
+  }
+
   std::size_t count(const std::string &Kind) {
     std::size_t Result = 0;
     this->onThread([&] { Result = this->Kinds[Kind].size(); });
@@ -274,6 +289,10 @@
   }
 
   void onRequest(ServerConnection &Peer, const HttpRequest &Request) {
+    if (this->Silent) {
+      this->Forgotten.push_back({Ref<ServerConnection>(&Peer), {}, 0});
+      return;
+    }
     const std::string &Target = Request.Target;
     const std::size_t Query = Target.find('?');
     const std::string Path = Target.substr(0, Query).substr(9);
@@ -344,6 +363,8 @@
   std::map<std::string, std::map<std::string, Stored>> Kinds;
   std::vector<Change> History;
   std::vector<Watcher> Watchers;
+  bool Silent = false;
+  std::vector<Watcher> Forgotten; ///< Requests that get no answer.
   FakeServer Server;
 };
 
