--- a/tests/path/FeedRelayTest.cpp
+++ b/tests/path/FeedRelayTest.cpp
@@ -43,15 +43,16 @@
   int Ends = 0;
   std::unique_ptr<FeedSubscription> Subscription =
       std::make_unique<FeedSubscription>(
-          Io, FeedSubscription::Handlers{
-                  [this](KindUpdate Update) { Received.update(Update); },
-                  [this](const FeedSourceState &State) {
-                    States.push_back(State.Connected);
-                  },
-                  [this](const SlowTargets &Report) {
-                    SlowReceived.push_back(Report);
-                  },
-                  [this] { ++Ends; }});
+          Io, FeedSubscription::Handlers{[this](KindUpdate Update) {
+                                           Received.update(std::move(Update));
+                                         },
+                                         [this](const FeedSourceState &State) {
+                                           States.push_back(State.Connected);
+                                         },
+                                         [this](const SlowTargets &Report) {
+                                           SlowReceived.push_back(Report);
+                                         },
+                                         [this] { ++Ends; }});
 
   TwoNodes() {
     this->Known.update(targets(true, {change("a", 1), change("b", 2)}, 5));
--- a/tests/path/FeedSourceTest.cpp
+++ b/tests/path/FeedSourceTest.cpp
@@ -80,7 +80,7 @@
   }
 
   struct Member {
-    Member(PeerNode Self, std::uint64_t Seed)
+    Member(const PeerNode &Self, std::uint64_t Seed)
         : Self(Self), Source(Self, Seed) {}
     const PeerNode Self;
     FeedSource Source;
--- a/tests/path/ObjectCacheTest.cpp
+++ b/tests/path/ObjectCacheTest.cpp
@@ -103,7 +103,7 @@
   ObjectCache Reader;
   ObjectCache Follower;
   const auto Transfer = [&] {
-    const KindUpdate Sent =
+    KindUpdate Sent =
         Reader.since(ObjectKind::Targets, Follower.asOf(ObjectKind::Targets));
     Follower.update(transferred(Sent));
     return Sent;
@@ -140,8 +140,8 @@
     std::uint64_t Revision = 10;
     for (std::size_t Count = 0; Count < ObjectCache::MaxRemovals + 10;
          ++Count) {
-      Reader.update(
-          update(false, {{object("x", ++Revision), false}}, Revision));
+      ++Revision;
+      Reader.update(update(false, {{object("x", Revision), false}}, Revision));
       ++Revision;
       Reader.update(update(false, {{object("x", Revision), true}}, Revision));
     }
