Stop sending requests to targets that say in their answers that they leave

Callers and targets saw requests to a target after it had said that it leaves (DRAIN). Cause: nothing read the header of the answers, and what a target had said was forgotten when its entry changed or was removed, so that an older entry put it in use again. Ruled out: late news from the store; the test has a healthy store.

The channel marks the target when it reads the answer; the mark belongs to the incarnation, outlives its entry by 10 minutes, and is final, also for a departure that the entry has told. The request limit is kept in the same way.

Test failed before (header name switched off): the only target of a service got the next request; beside a second one it got 172 more, and 7618 after its entry had come back. With the change it gets none.

--- a/balsamyard/src/Connection/TargetChannel.cpp
+++ b/balsamyard/src/Connection/TargetChannel.cpp
@@ -22,7 +22,8 @@
 
 void TargetChannel::submit(Ref<LinkCall> Call) {
   this->Target->started();
-  if (this->Retired || this->Target->reach() == Reach::Down) {
+  if (this->Retired || this->Target->reach() == Reach::Down ||
+      !this->acceptsRequests()) {
     // Posted, because the request that calls submit() cannot handle the result
     // yet.
     asio::post(this->Context, [Self = Ref<TargetChannel>(this), Call] {
@@ -35,7 +36,15 @@
   this->dispatch();
 }
 
+bool TargetChannel::acceptsRequests() const {
+  return !this->Target->isDeparting();
+}
+
 void TargetChannel::dispatch() {
+  if (!this->acceptsRequests()) {
+    this->failWaiting();
+    return;
+  }
   if (this->Target->reach() != Reach::Up)
     return;
   const TimePoint Now = steadyNow();
@@ -151,6 +160,7 @@
   }
   this->Protocol.readLoad(*Result, *this->Target, Now);
   this->observeRequestLimit(*Result, Now);
+  this->observeDeparture(*Result);
   if (const std::optional<Duration> Stated = advertisedIdleTimeout(*Result)) {
     this->IdleLimit = std::max(*Stated - this->Times.IdleMargin, *Stated / 2);
     this->IdleTimeoutAdvertised = true;
@@ -180,6 +190,13 @@
               {"service", this->Target->Info.Service.Text}});
 }
 
+void TargetChannel::observeDeparture(const HttpResponse &Response) {
+  if (this->Protocol.announcesDeparture(Response) &&
+      this->Target->noteDeparture())
+    logEvent(LogLevel::Info, "target-leaving",
+             {{"target", this->Target->Info.Id.Text}, {"source", "answer"}});
+}
+
 void TargetChannel::endCall(LinkCall &Call, Expected<HttpResponse> Result) {
   this->Target->ended();
   if (Call.Late)
@@ -312,6 +329,7 @@
     this->NextProbe = Now + this->ProbePause;
     return;
   }
+  this->observeDeparture(*Result);
   const Duration Cold = this->Protocol.remainingWarmup(*Result);
   if (Cold > Duration::zero())
     this->Target->setColdUntil(Now + Cold);
--- a/balsamyard/src/Connection/TargetChannel.h
+++ b/balsamyard/src/Connection/TargetChannel.h
@@ -128,6 +128,11 @@
   void endCall(LinkCall &Call, Expected<HttpResponse> Result);
   void failWaiting();
   void observeRequestLimit(const HttpResponse &Response, TimePoint Now);
+  void observeDeparture(const HttpResponse &Response);
+
+  /// \returns whether requests may be sent, as far as the statements of the
+  /// target are concerned.
+  bool acceptsRequests() const;
   void observe(LinkCall &Call, const Expected<HttpResponse> &Result,
                TimePoint Now);
   std::size_t openLinks() const;
--- a/balsamyard/src/Connection/TargetProtocol.cpp
+++ b/balsamyard/src/Connection/TargetProtocol.cpp
@@ -149,6 +149,13 @@
   return Limit && Target.setRequestLimit(Limit, Now);
 }
 
+bool TargetProtocol::announcesDeparture(const HttpResponse &Response) const {
+  const std::string *Value = Response.Fields.find(this->Names.Departure);
+  // Another target that has taken over the address speaks for itself.
+  return Value != nullptr && *Value == "1" &&
+         Response.Status != MisdirectedStatus;
+}
+
 std::string TargetProtocol::sharedHead(const HttpRequest &Request) const {
   std::string Message;
   Message.reserve(512);
--- a/balsamyard/src/Connection/TargetProtocol.h
+++ b/balsamyard/src/Connection/TargetProtocol.h
@@ -25,6 +25,7 @@
   std::string_view NotExecuted;     ///< The target did not run the request.
   std::string_view Load;            ///< "RUNNING,WAITING,SLOTS" of a target.
   std::string_view RequestLimit;    ///< Requests per second that it accepts.
+  std::string_view Departure;       ///< "1" if the target is about to leave.
   std::string_view TargetId;        ///< Id of the target that answers.
   std::string_view RemainingWarmup; ///< Milliseconds until the target is warm.
   std::string_view Receipts;        ///< All receipts of a merged answer.
@@ -77,6 +78,9 @@
   bool readRequestLimit(const HttpResponse &Response, KnownTarget &Target,
                         TimePoint Now) const;
 
+  /// \returns whether the response says that its target is about to leave.
+  bool announcesDeparture(const HttpResponse &Response) const;
+
   /// \returns the message that carries an outcome to the caller.
   std::string answer(const CallerAnswer &Outcome, bool KeepAlive,
                      bool WithBody) const;
--- a/balsamyard/src/Process/Discovery.cpp
+++ b/balsamyard/src/Process/Discovery.cpp
@@ -129,7 +129,8 @@
   if (Found == this->Targets.end())
     return false;
   const Entry &Target = Found->second;
-  if (Target.ExpiresAt || Target.Leaving != Announcement.Leaving ||
+  if (Target.ExpiresAt ||
+      (Announcement.Leaving && !Target.State->isDeparting()) ||
       !(Target.State->Info == this->localInfo(Announcement)))
     return false;
   if (Announcement.RemainingWarmup <= Duration::zero())
@@ -139,17 +140,35 @@
   return Difference <= WarmupTolerance && Difference >= -WarmupTolerance;
 }
 
+Ref<KnownTarget> Discovery::stateOf(const TargetInfo &Info) const {
+  Ref<KnownTarget> Known;
+  if (const auto Found = this->Targets.find(Info.Id);
+      Found != this->Targets.end() && Found->second.State)
+    Known = Found->second.State;
+  else if (const auto Former = this->FormerTargets.find(Info.Id);
+           Former != this->FormerTargets.end())
+    Known = Former->second.State;
+  if (Known && Known->Info == Info)
+    return Known;
+  auto Result = makeRef<KnownTarget>(Info);
+  // Observations of the former incarnation do not apply to the new one.
+  if (Known && Known->Info.isSameIncarnation(Info))
+    Result->inheritStatements(*Known);
+  return Result;
+}
+
 void Discovery::announce(const TargetAnnouncement &Announcement,
                          TimePoint Now) {
   const TargetInfo Info = this->localInfo(Announcement);
   Entry &Target = this->Targets[Info.Id];
   const bool IsNew = !Target.State || !(Target.State->Info == Info);
   if (IsNew) {
-    // Observations of the former incarnation do not apply to the new one.
+    const Ref<KnownTarget> Next = this->stateOf(Info);
     if (Target.State)
       Target.State->setAdminState(AdminState::Gone);
     Target = {};
-    Target.State = makeRef<KnownTarget>(Info);
+    Target.State = Next;
+    this->FormerTargets.erase(Info.Id);
     this->Changed = true;
     logEvent(LogLevel::Info, "target-announced",
              {{"target", Info.Id.Text},
@@ -164,9 +183,9 @@
     logEvent(LogLevel::Info, "target-announced-again",
              {{"target", Info.Id.Text}});
   }
-  if (Announcement.Leaving && !Target.Leaving)
-    logEvent(LogLevel::Info, "target-leaving", {{"target", Info.Id.Text}});
-  Target.Leaving = Announcement.Leaving;
+  if (Announcement.Leaving && Target.State->noteDeparture())
+    logEvent(LogLevel::Info, "target-leaving",
+             {{"target", Info.Id.Text}, {"source", "entry"}});
   if (Announcement.RemainingWarmup > Duration::zero()) {
     if (!IsNew && !Target.State->isCold(Now))
       logEvent(
@@ -180,7 +199,7 @@
 void Discovery::updateAdminState(Entry &Target) {
   const AdminState Former = Target.State->adminState();
   AdminState Next = AdminState::Serving;
-  if (Target.Leaving)
+  if (Target.State->isDeparting())
     Next = AdminState::Leaving;
   else if (this->Evacuated.contains(Target.State->Info.Domain))
     Next = AdminState::Evacuated;
@@ -200,11 +219,19 @@
   const auto Found = this->Targets.find(Id);
   if (Found == this->Targets.end() || Found->second.ExpiresAt)
     return;
-  logEvent(LogLevel::Info, "target-withdrawn",
-           {{"target", Id.Text}, {"leaving", Found->second.Leaving}});
+  logEvent(
+      LogLevel::Info, "target-withdrawn",
+      {{"target", Id.Text}, {"leaving", Found->second.State->isDeparting()}});
   Found->second.ExpiresAt = Now + this->withdrawalGrace(Now);
 }
 
+void Discovery::applyDepartures() {
+  for (auto &[Id, Target] : this->Targets)
+    if (Target.State->isDeparting() &&
+        Target.State->adminState() != AdminState::Leaving)
+      this->updateAdminState(Target);
+}
+
 void Discovery::evacuate(const DomainName &Domain) {
   if (!this->Evacuated.insert(Domain).second)
     return;
@@ -315,9 +342,13 @@
     }
     logEvent(LogLevel::Info, "target-gone", {{"target", It->first.Text}});
     It->second.State->setAdminState(AdminState::Gone);
+    this->FormerTargets[It->first] = {It->second.State, Now};
     It = this->Targets.erase(It);
     this->Changed = true;
   }
+  std::erase_if(this->FormerTargets, [Now](const auto &Item) {
+    return Now - Item.second.GoneAt >= FormerTargetLifetime;
+  });
 }
 
 std::vector<TargetId> Discovery::slowTargets(TimePoint Since) const {
--- a/balsamyard/src/Process/Discovery.h
+++ b/balsamyard/src/Process/Discovery.h
@@ -68,6 +68,15 @@
   std::uint32_t rank() const { return this->Rank; }
   std::uint32_t nodes() const { return this->Nodes; }
 
+  /// \brief Applies the departures that targets have announced in their
+  /// answers.
+  void applyDepartures();
+
+  /// How long the state of a target is kept after its entry was removed.
+  /// Entries come back after an outage of the store, and what their targets
+  /// have said of themselves still holds.
+  static constexpr Duration FormerTargetLifetime = std::chrono::minutes(10);
+
   /// \brief Records that the store came back after an outage. Entries that
   /// lapsed in it come back shortly after.
   void markStoreReturned(TimePoint At) {
@@ -119,10 +128,16 @@
   struct Entry {
     Ref<KnownTarget> State;
     std::optional<TimePoint> ExpiresAt; ///< Set while it is withdrawn.
-    bool Leaving = false;
+  };
+
+  /// \brief A target whose entry is gone.
+  struct FormerTarget {
+    Ref<KnownTarget> State;
+    TimePoint GoneAt{};
   };
 
   TargetInfo localInfo(const TargetAnnouncement &Announcement) const;
+  Ref<KnownTarget> stateOf(const TargetInfo &Info) const;
   void updateAdminState(Entry &Target);
   Ref<MoveTraffic> moveOf(const ServiceName &Service) const;
   Distance distanceOf(const DomainName &Domain) const;
@@ -138,6 +153,7 @@
   NodeSettings Settings;
   ConfigurationGate Gate;
   std::map<TargetId, Entry> Targets;
+  std::map<TargetId, FormerTarget> FormerTargets;
   std::set<DomainName> Evacuated;
   std::map<ServiceName, Ref<RetryBudget>> Budgets;
   std::map<RouteName, Ref<RouteStats>> Stats;
--- a/balsamyard/src/Process/FleetAgent.cpp
+++ b/balsamyard/src/Process/FleetAgent.cpp
@@ -62,14 +62,13 @@
                   this->setPeers(std::move(Nodes));
                 },
                 [this] { return this->readsStore(); }}),
-      SourceTimer(Context), ReportTimer(Context), UpdateTimer(Context) {}
+      SourceTimer(Context), ScanTimer(Context), UpdateTimer(Context) {}
 
 void FleetAgent::start() {
   // Without an address for other nodes, there is nothing to follow.
   if (this->Settings.Peers.Port == 0)
     this->on(ReadStore{});
-  else
-    this->exchangeReports();
+  this->scanTargets();
   this->Registry.start();
   this->Crashes.start();
 }
@@ -116,6 +115,18 @@
   return {this->Slow.take(Now), this->Unlimited.take(Now), Forwarded};
 }
 
+void FleetAgent::scanTargets() {
+  this->Fleet.applyDepartures();
+  this->scheduleUpdate();
+  if (this->Settings.Peers.Port != 0)
+    this->exchangeReports();
+  this->ScanTimer.expires_after(TargetReports::SendInterval);
+  this->ScanTimer.async_wait([this](const asio::error_code &Cancelled) {
+    if (!Cancelled)
+      this->scanTargets();
+  });
+}
+
 void FleetAgent::exchangeReports() {
   const TimePoint Now = steadyNow();
   const TimePoint Confirmed = Now - Discovery::LimitEndConfirmation;
@@ -144,11 +155,6 @@
         this->Subscription.report(Reader.Peers, Report);
     }
   }
-  this->ReportTimer.expires_after(TargetReports::SendInterval);
-  this->ReportTimer.async_wait([this](const asio::error_code &Cancelled) {
-    if (!Cancelled)
-      this->exchangeReports();
-  });
 }
 
 void FleetAgent::applyReport(const TargetReport &Report) {
--- a/balsamyard/src/Process/FleetAgent.h
+++ b/balsamyard/src/Process/FleetAgent.h
@@ -74,6 +74,9 @@
   void onPeerState(const FeedSourceState &State);
   void onStoreConnection();
   void setPeers(std::vector<PeerNode> Nodes);
+
+  /// \brief Applies what requests have found out about targets.
+  void scanTargets();
   void exchangeReports();
   void applyReport(const TargetReport &Report);
   void onReport(const TargetReport &Report);
@@ -110,7 +113,7 @@
   CrashAgent Crashes;
   NodeRegistry Registry;
   asio::steady_timer SourceTimer;
-  asio::steady_timer ReportTimer;
+  asio::steady_timer ScanTimer;
   asio::steady_timer UpdateTimer;
   TimePoint UpdateAt = TimePoint::max();
   std::atomic<bool> Ready{false};
--- a/balsamyard/src/Request/TargetChoice.cpp
+++ b/balsamyard/src/Request/TargetChoice.cpp
@@ -32,7 +32,7 @@
 }
 
 bool isEligible(const KnownTarget &Target, const TargetCriteria &Criteria) {
-  if (Target.adminState() != AdminState::Serving ||
+  if (Target.adminState() != AdminState::Serving || Target.isDeparting() ||
       Target.reach() == Reach::Down)
     return false;
   if (Criteria.MoveVersion != nullptr &&
--- a/balsamyard/src/Version/KnownTarget.cpp
+++ b/balsamyard/src/Version/KnownTarget.cpp
@@ -13,6 +13,13 @@
 
 } // namespace
 
+void KnownTarget::inheritStatements(const KnownTarget &Former) {
+  if (Former.isDeparting())
+    this->noteDeparture();
+  this->RequestLimit.store(Former.RequestLimit.load(std::memory_order_relaxed),
+                           std::memory_order_relaxed);
+}
+
 bool KnownTarget::mayStartColdRequest(Duration Interval, TimePoint Now) const {
   return toMicros(Now) - this->LastColdMicros.load(std::memory_order_relaxed) >=
          Interval.count();
--- a/balsamyard/src/Version/KnownTarget.h
+++ b/balsamyard/src/Version/KnownTarget.h
@@ -26,6 +26,11 @@
   Distance NetworkDistance = Distance::SameDomain;
 
   bool operator==(const TargetInfo &) const = default;
+
+  /// \returns whether both describe the same process.
+  bool isSameIncarnation(const TargetInfo &Other) const {
+    return this->Id == Other.Id && this->Started == Other.Started;
+  }
 };
 
 /// \brief Administrative state of a target, set by its announcements and by
@@ -87,6 +92,20 @@
     this->CurrentReach.store(Value, std::memory_order_relaxed);
   }
 
+  /// \brief Records that the target has said that it leaves. This is final: a
+  /// target that returns is another incarnation.
+  /// \returns whether it was not known before.
+  bool noteDeparture() {
+    return !this->Departing.exchange(true, std::memory_order_relaxed);
+  }
+  bool isDeparting() const {
+    return this->Departing.load(std::memory_order_relaxed);
+  }
+
+  /// \brief Takes over what \p Former, the same incarnation under another
+  /// description, has said of itself.
+  void inheritStatements(const KnownTarget &Former);
+
   /// \brief Whether this process keeps connections to the target open. A target
   /// accepts too few for every process to do so; the others connect on demand.
   bool preferred() const {
@@ -227,6 +246,7 @@
 
   std::atomic<AdminState> CurrentAdminState{AdminState::Serving};
   std::atomic<Reach> CurrentReach{Reach::Up};
+  std::atomic<bool> Departing{false};
   std::atomic<bool> Preferred{true};
   std::atomic<std::int64_t> ColdUntilMicros{0};
   std::atomic<std::int64_t> LastColdMicros{0};
--- a/tests/path/FakeFleet.h
+++ b/tests/path/FakeFleet.h
@@ -85,10 +85,16 @@
 struct Failing {};
 /// \brief Closes the connection without an answer, as after a crash.
 struct Crashing {};
+/// \brief Answers, and says in each answer that it leaves.
+struct Leaving {};
+/// \brief Rejects the request and asks for a pause of this many seconds.
+struct Pausing {
+  std::string Seconds;
+};
 
 using Behaviour =
     std::variant<WellBehaved, Silent, Late, DuplicateAnswer, MismatchedId,
-                 Refusing, Replaced, Failing, Crashing>;
+                 Refusing, Replaced, Failing, Crashing, Leaving, Pausing>;
 
 /// \brief A target that speaks the platform's protocol.
 class FakeTarget {
@@ -110,10 +116,11 @@
   const std::string Id;
 
 private:
-  std::string successResponse(const std::string &RequestId) const {
+  std::string successResponse(const std::string &RequestId,
+                              const std::string &Fields = "") const {
     return "HTTP/1.1 200 OK\r\nX-Balsamyard-Attempt-Id: " + RequestId +
-           "\r\nX-Balsamyard-Server-Stamp: stamp-" + this->Id +
-           "\r\nContent-Length: " + std::to_string(this->Record.size()) +
+           "\r\nX-Balsamyard-Server-Stamp: stamp-" + this->Id + "\r\n" +
+           Fields + "Content-Length: " + std::to_string(this->Record.size()) +
            "\r\n\r\n" + this->Record;
   }
 
@@ -170,7 +177,18 @@
                                this->Id + "\r\nContent-Length: 0\r\n\r\n",
                            true);
             },
-            [&](const Crashing &) { Held->close(); }},
+            [&](const Crashing &) { Held->close(); },
+            [&](const Leaving &) {
+              Held->answer(
+                  this->successResponse(RequestId, "Server-Leaving: 1\r\n"),
+                  true);
+            },
+            [&](const Pausing &Busy) {
+              Held->answer("HTTP/1.1 503 Busy\r\nX-Balsamyard-Not-Executed: 1"
+                           "\r\nRetry-After: " +
+                               Busy.Seconds + "\r\nContent-Length: 0\r\n\r\n",
+                           true);
+            }},
         this->Acts);
   }
 
--- a/tests/path/NodeTest.cpp
+++ b/tests/path/NodeTest.cpp
@@ -417,3 +417,50 @@
     }
   }
 }
+
+// Guards against requests to a target that has said in an answer that it leaves
+// (DRAIN), while its entry in the store says otherwise.
+SCENARIO("a target that says in an answer that it leaves gets no more requests",
+         "[node][departure]") {
+  PlatformWorld World;
+  World.addRoute("/records/", {{"service", "records"}});
+  FakeTarget &Departing = World.add("records", "i-2", "stored", Leaving{});
+  World.start();
+  FakeCaller Caller = World.caller();
+  int Sent = 0;
+  const auto Ask = [&] {
+    return Caller.ask(get("/records/x", "id-" + std::to_string(++Sent))).Status;
+  };
+
+  GIVEN("an answer of the target") {
+    REQUIRE(Ask() == 200);
+    REQUIRE(Departing.requests().size() == 1);
+    WHEN("there is no other target") {
+      THEN("requests are rejected, as they have not run") {
+        CHECK(Ask() == 503);
+        CHECK(Departing.requests().size() == 1);
+      }
+    }
+    WHEN("another target is added") {
+      FakeTarget &Other = World.add("records", "i-1", "stored", WellBehaved{});
+      THEN("it gets all further requests") {
+        while (Other.requests().size() < 50)
+          Ask();
+        CHECK(Departing.requests().size() == 1);
+      }
+    }
+    WHEN("its entry is removed and comes back") {
+      World.Store.put("servers", Departing.Id, nullptr);
+      // Longer than a removed entry is used.
+      ::usleep(1'500'000);
+      World.announce("records", Departing, "ready", "v1");
+      // A later change shows that the entry was read.
+      FakeTarget &Other = World.add("records", "i-1", "stored", WellBehaved{});
+      THEN("it gets no request either") {
+        while (Other.requests().size() < 50)
+          Ask();
+        CHECK(Departing.requests().size() == 1);
+      }
+    }
+  }
+}
