Keep to the pauses that targets ask for

A target that rejects a request with 503 may say for how long it wants nothing from this process (Retry-After); more than two requests in that time break BUDGET. Cause: nothing read the field; the next request, the queue of the channel and health checks went on at once.

The channel that reads the answer sets the end of the pause at the target: it is not chosen until then, calls that wait for it end unsent and go to other targets, and its health page is asked only afterwards. The pause belongs to the incarnation and outlives its entry, like the departure. A pause is cut at one hour.

--- a/balsamyard/src/Connection/TargetChannel.cpp
+++ b/balsamyard/src/Connection/TargetChannel.cpp
@@ -23,7 +23,7 @@
 void TargetChannel::submit(Ref<LinkCall> Call) {
   this->Target->started();
   if (this->Retired || this->Target->reach() == Reach::Down ||
-      !this->acceptsRequests()) {
+      !this->acceptsRequests(steadyNow())) {
     // Posted, because the request that calls submit() cannot handle the result
     // yet.
     asio::post(this->Context, [Self = Ref<TargetChannel>(this), Call] {
@@ -36,18 +36,18 @@
   this->dispatch();
 }
 
-bool TargetChannel::acceptsRequests() const {
-  return !this->Target->isDeparting();
+bool TargetChannel::acceptsRequests(TimePoint Now) const {
+  return !this->Target->isDeparting() && !this->Target->isPaused(Now);
 }
 
 void TargetChannel::dispatch() {
-  if (!this->acceptsRequests()) {
+  const TimePoint Now = steadyNow();
+  if (!this->acceptsRequests(Now)) {
     this->failWaiting();
     return;
   }
   if (this->Target->reach() != Reach::Up)
     return;
-  const TimePoint Now = steadyNow();
   while (!this->Waiting.empty()) {
     // Uses the connection that was idle longest, so that none reaches the idle
     // limit of the target while there is traffic.
@@ -161,6 +161,7 @@
   this->Protocol.readLoad(*Result, *this->Target, Now);
   this->observeRequestLimit(*Result, Now);
   this->observeDeparture(*Result);
+  this->observePause(*Result, Now);
   if (const std::optional<Duration> Stated = advertisedIdleTimeout(*Result)) {
     this->IdleLimit = std::max(*Stated - this->Times.IdleMargin, *Stated / 2);
     this->IdleTimeoutAdvertised = true;
@@ -197,6 +198,17 @@
              {{"target", this->Target->Info.Id.Text}, {"source", "answer"}});
 }
 
+void TargetChannel::observePause(const HttpResponse &Response, TimePoint Now) {
+  const std::optional<Duration> Pause = this->Protocol.requestedPause(Response);
+  if (!Pause)
+    return;
+  this->Target->pauseUntil(Now + *Pause);
+  logEvent(LogLevel::Info, "target-paused",
+           {{"target", this->Target->Info.Id.Text},
+            {"service", this->Target->Info.Service.Text},
+            {"pause", *Pause}});
+}
+
 void TargetChannel::endCall(LinkCall &Call, Expected<HttpResponse> Result) {
   this->Target->ended();
   if (Call.Late)
@@ -276,7 +288,10 @@
   logEvent(LogLevel::Info, "target-suspect",
            {{"target", this->Target->Info.Id.Text},
             {"service", this->Target->Info.Service.Text}});
-  this->probe();
+  // tick() starts the check of a paused target when the pause is over.
+  this->NextProbe = {};
+  if (!this->Target->isPaused(steadyNow()))
+    this->probe();
 }
 
 void TargetChannel::probe() {
@@ -319,6 +334,7 @@
     this->probeFailed();
     return;
   }
+  this->observePause(*Result, Now);
   // A target at its limit rejects the health request without stating its id or
   // warm-up state.
   if (Id.empty()) {
@@ -370,7 +386,8 @@
     this->probeFailed();
   }
   if (!this->Retired && !this->ProbeLink &&
-      this->Target->reach() != Reach::Up && Now >= this->NextProbe)
+      this->Target->reach() != Reach::Up && Now >= this->NextProbe &&
+      !this->Target->isPaused(Now))
     this->probe();
 
   const Duration MaxIdle = this->maxIdle();
--- a/balsamyard/src/Connection/TargetChannel.h
+++ b/balsamyard/src/Connection/TargetChannel.h
@@ -129,10 +129,11 @@
   void failWaiting();
   void observeRequestLimit(const HttpResponse &Response, TimePoint Now);
   void observeDeparture(const HttpResponse &Response);
+  void observePause(const HttpResponse &Response, TimePoint Now);
 
   /// \returns whether requests may be sent, as far as the statements of the
   /// target are concerned.
-  bool acceptsRequests() const;
+  bool acceptsRequests(TimePoint Now) const;
   void observe(LinkCall &Call, const Expected<HttpResponse> &Result,
                TimePoint Now);
   std::size_t openLinks() const;
--- a/balsamyard/src/Connection/TargetProtocol.cpp
+++ b/balsamyard/src/Connection/TargetProtocol.cpp
@@ -2,6 +2,7 @@
 
 #include "balsamyard/src/Core/Overload.h"
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <cmath>
@@ -149,6 +150,21 @@
   return Limit && Target.setRequestLimit(Limit, Now);
 }
 
+std::optional<Duration>
+TargetProtocol::requestedPause(const HttpResponse &Response) const {
+  if (Response.Status != UnavailableStatus)
+    return std::nullopt;
+  const std::string *Value = Response.Fields.find("retry-after");
+  const std::optional<double> Seconds =
+      Value == nullptr ? std::nullopt : decimalNumber(*Value);
+  if (!Seconds || *Seconds == 0)
+    return std::nullopt;
+  // A longer time would exclude the target for good after one odd answer.
+  constexpr std::chrono::duration<double> MaxPause = std::chrono::hours(1);
+  return std::chrono::duration_cast<Duration>(
+      std::min(std::chrono::duration<double>(*Seconds), MaxPause));
+}
+
 bool TargetProtocol::announcesDeparture(const HttpResponse &Response) const {
   const std::string *Value = Response.Fields.find(this->Names.Departure);
   // Another target that has taken over the address speaks for itself.
--- a/balsamyard/src/Connection/TargetProtocol.h
+++ b/balsamyard/src/Connection/TargetProtocol.h
@@ -15,6 +15,9 @@
 /// has taken over its address.
 inline constexpr int MisdirectedStatus = 421;
 
+/// \brief Status of an answer by a target that cannot take the request now.
+inline constexpr int UnavailableStatus = 503;
+
 /// \brief Header names of the deployment, filled in by its adapter. The rest of
 /// the protocol is plain HTTP.
 struct HeaderNames {
@@ -78,6 +81,10 @@
   bool readRequestLimit(const HttpResponse &Response, KnownTarget &Target,
                         TimePoint Now) const;
 
+  /// \returns the time for which the target wants no requests from this
+  /// process, if it rejects the request with one.
+  std::optional<Duration> requestedPause(const HttpResponse &Response) const;
+
   /// \returns whether the response says that its target is about to leave.
   bool announcesDeparture(const HttpResponse &Response) const;
 
--- a/balsamyard/src/Request/TargetChoice.cpp
+++ b/balsamyard/src/Request/TargetChoice.cpp
@@ -31,9 +31,10 @@
   return Target.slowness(Now) * (1 + std::max(0.0, Busy - 0.5));
 }
 
-bool isEligible(const KnownTarget &Target, const TargetCriteria &Criteria) {
+bool isEligible(const KnownTarget &Target, const TargetCriteria &Criteria,
+                TimePoint Now) {
   if (Target.adminState() != AdminState::Serving || Target.isDeparting() ||
-      Target.reach() == Reach::Down)
+      Target.isPaused(Now) || Target.reach() == Reach::Down)
     return false;
   if (Criteria.MoveVersion != nullptr &&
       (Target.Info.Version == *Criteria.MoveVersion) != Criteria.UseMoveVersion)
@@ -75,7 +76,7 @@
   double BestFactor = 0;
   bool SawLimited = false;
   for (const Ref<KnownTarget> &Target : Service.Targets) {
-    if (!isEligible(*Target, Criteria) ||
+    if (!isEligible(*Target, Criteria, Now) ||
         std::find(Tried.begin(), Tried.end(), Target.get()) != Tried.end())
       continue;
     if (Target->isCold(Now) &&
--- a/balsamyard/src/Version/KnownTarget.cpp
+++ b/balsamyard/src/Version/KnownTarget.cpp
@@ -16,10 +16,21 @@
 void KnownTarget::inheritStatements(const KnownTarget &Former) {
   if (Former.isDeparting())
     this->noteDeparture();
+  this->PausedUntilMicros.store(
+      Former.PausedUntilMicros.load(std::memory_order_relaxed),
+      std::memory_order_relaxed);
   this->RequestLimit.store(Former.RequestLimit.load(std::memory_order_relaxed),
                            std::memory_order_relaxed);
 }
 
+void KnownTarget::pauseUntil(TimePoint Until) {
+  std::int64_t Former = this->PausedUntilMicros.load(std::memory_order_relaxed);
+  while (Former < toMicros(Until) &&
+         !this->PausedUntilMicros.compare_exchange_weak(
+             Former, toMicros(Until), std::memory_order_relaxed))
+    ;
+}
+
 bool KnownTarget::mayStartColdRequest(Duration Interval, TimePoint Now) const {
   return toMicros(Now) - this->LastColdMicros.load(std::memory_order_relaxed) >=
          Interval.count();
--- a/balsamyard/src/Version/KnownTarget.h
+++ b/balsamyard/src/Version/KnownTarget.h
@@ -102,6 +102,14 @@
     return this->Departing.load(std::memory_order_relaxed);
   }
 
+  /// \brief The target wants no requests from this process until \p Until. A
+  /// longer pause that it asked for before still holds.
+  void pauseUntil(TimePoint Until);
+  bool isPaused(TimePoint Now) const {
+    return Now.time_since_epoch().count() <
+           this->PausedUntilMicros.load(std::memory_order_relaxed);
+  }
+
   /// \brief Takes over what \p Former, the same incarnation under another
   /// description, has said of itself.
   void inheritStatements(const KnownTarget &Former);
@@ -247,6 +255,7 @@
   std::atomic<AdminState> CurrentAdminState{AdminState::Serving};
   std::atomic<Reach> CurrentReach{Reach::Up};
   std::atomic<bool> Departing{false};
+  std::atomic<std::int64_t> PausedUntilMicros{0};
   std::atomic<bool> Preferred{true};
   std::atomic<std::int64_t> ColdUntilMicros{0};
   std::atomic<std::int64_t> LastColdMicros{0};
--- a/tests/path/NodeTest.cpp
+++ b/tests/path/NodeTest.cpp
@@ -464,3 +464,23 @@
     }
   }
 }
+
+// Guards against requests to a target that has answered 503 and asked for a
+// pause (BUDGET).
+SCENARIO("a target that asks for a pause gets no requests until its end",
+         "[node][pause]") {
+  PlatformWorld World;
+  World.addRoute("/records/", {{"service", "records"}});
+  FakeTarget &Busy = World.add("records", "i-1", "", Pausing{"1.5"});
+  World.start();
+  FakeCaller Caller = World.caller();
+  GIVEN("the first answer of the target") {
+    REQUIRE(Caller.ask(get("/records/x")).Status == 503);
+    const TimePoint Answered = steadyNow();
+    THEN("requests are rejected at once until the pause is over") {
+      while (Busy.requests().size() < 2)
+        CHECK(Caller.ask(get("/records/x")).Status == 503);
+      CHECK(steadyNow() - Answered >= 1500 * Millisecond);
+    }
+  }
+}
