Notice crashes of targets whatever the order in which connections end

A request that crashes targets was sent to more of them (BUDGET). One of the causes: the crash was not noticed. It counted only if the connection with the request was the last to end, and the end of the others could pass for an idle timeout. It did not count either if the caller left first, or if another target answered with a failure; such a failure, and a partial answer, even cleared the request.

An attempt that breaks is now compared 250 ms later with the time at which its target lost all connections (CrashWatch). A close within 250 ms of a broken request is no idle timeout. Requests whose caller left, and forwarded failures, are reported; only a success of all shards clears a suspected request.

Failed before: 'a target that crashes under a request loses its idle connections' (the target stayed reachable). New: 'a broken attempt turns out to be a crash', and a request whose caller leaves. [crash] tests pass.

--- a/balsamyard/src/Connection/TargetChannel.cpp
+++ b/balsamyard/src/Connection/TargetChannel.cpp
@@ -143,10 +143,14 @@
 void TargetChannel::onLinkLost(const LinkEntry &Entry, bool Expected) {
   const Ref<TargetChannel> Self(this);
   this->remove(Entry);
+  // After a request was broken, a close is no idle timeout: the target may have
+  // crashed.
+  const bool MayBeCrash = !Expected || steadyNow() - this->RequestBrokenAt <
+                                           this->Times.CrashSpread;
   // A crash breaks all connections at once. If others are still open, the
   // target has closed only this one.
-  if (!Expected && this->openLinks() == 0)
-    this->suspect();
+  if (MayBeCrash && this->openLinks() == 0)
+    this->onAllLinksLost();
   else
     this->dispatch();
 }
@@ -234,8 +238,10 @@
   const bool Broken = !Result;
   if (!Alive) {
     this->remove(*Entry);
+    if (Broken)
+      this->RequestBrokenAt = steadyNow();
     if (Broken && this->openLinks() == 0)
-      this->suspect();
+      this->onAllLinksLost();
   }
   this->endCall(*Call, std::move(Result));
   this->dispatch();
@@ -278,6 +284,17 @@
   }
 }
 
+void TargetChannel::onAllLinksLost() {
+  const TimePoint Now = steadyNow();
+  this->Target->noteLoss(Now);
+  logEvent(LogLevel::Info, "target-lost",
+           {{"target", this->Target->Info.Id.Text},
+            {"service", this->Target->Info.Service.Text},
+            {"request_broken",
+             Now - this->RequestBrokenAt < this->Times.CrashSpread}});
+  this->suspect();
+}
+
 void TargetChannel::suspect() {
   if (this->Target->reach() != Reach::Up || this->Retired) {
     this->failWaiting();
--- a/balsamyard/src/Connection/TargetChannel.h
+++ b/balsamyard/src/Connection/TargetChannel.h
@@ -45,6 +45,9 @@
   /// left to the nodes that prefer them.
   Duration SpareIdleLimit = std::chrono::seconds(1);
 
+  /// Connections of a target that crashes end within this time of each other.
+  Duration CrashSpread = std::chrono::milliseconds(250);
+
   /// Pause before the next connection if the target closes one that is open for
   /// less than this time: it is at its connection limit.
   Duration FullPause = std::chrono::milliseconds(500);
@@ -121,6 +124,7 @@
   void onLinkLost(const LinkEntry &Entry, bool Expected);
   void onIdleClose(const LinkEntry &Entry, TimePoint Now);
   void remove(const LinkEntry &Entry);
+  void onAllLinksLost();
   void suspect();
   void probe();
   void onProbe(Expected<HttpResponse> Result);
@@ -152,6 +156,7 @@
   TimePoint ProbeDeadline{};
   TimePoint NextProbe{};
   TimePoint NextOpen{};
+  TimePoint RequestBrokenAt{}; ///< A connection last ended under a request.
   TimePoint NextCheck{}; ///< Reset whenever a connection changes its state.
   Duration ProbePause{};
   Duration IdleLimit;
--- a/balsamyard/src/Process/CrashAgent.cpp
+++ b/balsamyard/src/Process/CrashAgent.cpp
@@ -10,7 +10,8 @@
                        const PlatformAdapter &Adapter, Discovery &Fleet,
                        Handlers Events)
     : Adapter(Adapter), Fleet(Fleet), Events(std::move(Events)),
-      Decisions(Settings.Node), Calls(Context, Settings.Store), Timer(Context) {
+      Decisions(Settings.Node), Calls(Context, Settings.Store), Timer(Context),
+      ConfirmTimer(Context) {
   this->Fleet.setCrashes(this->Decisions.list());
 }
 
@@ -19,7 +20,31 @@
 }
 
 void CrashAgent::report(const RequestCrashEvent &Event) {
-  std::visit([this](const auto &Body) { this->apply(Body); }, Event);
+  std::visit([this](const auto &Body) { this->on(Body); }, Event);
+}
+
+void CrashAgent::on(const RequestBroken &Event) {
+  this->Unconfirmed.add(Event, steadyNow());
+  this->scheduleConfirmation();
+}
+
+void CrashAgent::on(const SuspectedRequestSucceeded &Event) {
+  this->apply(Event);
+}
+
+void CrashAgent::scheduleConfirmation() {
+  const std::optional<TimePoint> Next = this->Unconfirmed.nextCheck();
+  if (!Next)
+    return;
+  this->ConfirmTimer.expires_at(*Next);
+  this->ConfirmTimer.async_wait([this](const asio::error_code &Cancelled) {
+    if (Cancelled)
+      return;
+    for (const RequestCrashedTargets &Event :
+         this->Unconfirmed.take(steadyNow()))
+      this->apply(Event);
+    this->scheduleConfirmation();
+  });
 }
 
 void CrashAgent::maintain() {
--- a/balsamyard/src/Process/CrashAgent.h
+++ b/balsamyard/src/Process/CrashAgent.h
@@ -2,6 +2,7 @@
 
 #include "balsamyard/src/Connection/StoreCallQueue.h"
 #include "balsamyard/src/Process/CrashRecords.h"
+#include "balsamyard/src/Process/CrashWatch.h"
 #include "balsamyard/src/Process/Discovery.h"
 #include "balsamyard/src/Process/ObjectCache.h"
 #include "balsamyard/src/Process/PlatformAdapter.h"
@@ -44,10 +45,13 @@
   /// \brief Applies reloaded settings.
   void reload(const NodeSettings &Settings);
 
-  /// \brief Handles the crash or success of a request.
+  /// \brief Handles the failure or success of a request.
   void report(const RequestCrashEvent &Event);
 
 private:
+  void on(const RequestBroken &Event);
+  void on(const SuspectedRequestSucceeded &Event);
+  void scheduleConfirmation();
   void apply(const CrashRecordEvent &Event);
   void perform(const WriteCrashRecord &Effect);
   void perform(const RemoveCrashRecord &Effect);
@@ -58,9 +62,11 @@
   const PlatformAdapter &Adapter;
   Discovery &Fleet;
   const Handlers Events;
+  CrashWatch Unconfirmed;
   CrashRecords Decisions;
   StoreCallQueue Calls;
   asio::steady_timer Timer;
+  asio::steady_timer ConfirmTimer;
   KindUpdate Listing; ///< The pages read so far.
 };
 
--- a/balsamyard/src/Request/RequestRun.cpp
+++ b/balsamyard/src/Request/RequestRun.cpp
@@ -151,6 +151,7 @@
                             Run->Context.ThreadLabel);
   for (const Ref<LinkCall> &Call : Run->Calls)
     Run->Context.Channels.channelFor(*Call->Target).abort(*Call);
+  Run->reportBroken();
   Run->release();
 }
 
@@ -248,7 +249,7 @@
 void RequestRun::on(const ScatterFinished &) {
   const CallerAnswer Answer = this->Decisions.takeOutcome();
   this->log(Answer, steadyNow());
-  this->reportCrash(Answer);
+  this->reportOutcome(Answer);
   const bool KeepOpen = this->Caller->mayKeepOpen();
   std::string Message = this->Context.Protocol.answer(
       Answer, KeepOpen, this->Request.Method != "HEAD");
@@ -261,19 +262,35 @@
     Shared.GoalLag.observe(steadyNow() - *Goal);
 }
 
-void RequestRun::reportCrash(const CallerAnswer &Answer) const {
-  const bool Failed = std::holds_alternative<FailedAnswer>(Answer);
-  const std::vector<TargetId> Crashed =
-      Failed ? this->Decisions.crashedTargets() : std::vector<TargetId>{};
-  if (!Crashed.empty()) {
-    this->Context.OnCrashEvent(
-        RequestCrashedTargets{fingerprintOf(this->Request), Crashed});
-    return;
-  }
+bool RequestRun::reportBroken() const {
+  std::vector<BrokenAttempt> Broken = this->Decisions.brokenAttempts();
+  if (Broken.empty())
+    return false;
+  this->Context.OnCrashEvent(
+      RequestBroken{fingerprintOf(this->Request), std::move(Broken)});
+  return true;
+}
+
+void RequestRun::reportOutcome(const CallerAnswer &Answer) const {
+  // A partial answer is no evidence against the request, nor for it: targets
+  // of the missing shards may have crashed.
+  const auto [Failed, Succeeded] = std::visit(
+      Overload{
+          [](const MergedAnswer &Merged) {
+            return std::pair(false, Merged.MissingParts == 0);
+          },
+          [](const ForwardedAnswer &Forwarded) {
+            const bool Success = Forwarded.Response.Status / 100 == 2;
+            return std::pair(!Success, Success);
+          },
+          [](const NotExecutedAnswer &) { return std::pair(false, false); },
+          [](const FailedAnswer &) { return std::pair(true, false); }},
+      Answer);
+  if (Failed)
+    this->reportBroken();
   // Read the current view: the request may have become suspected while it ran.
   const Ref<const FleetView> View = this->Context.View.read();
-  if (Failed || View->Crashes->Entries.empty() ||
-      std::holds_alternative<NotExecutedAnswer>(Answer))
+  if (!Succeeded || View->Crashes->Entries.empty())
     return;
   const Fingerprint Print = fingerprintOf(this->Request);
   // A refusal is not lifted: an attempt that started before it is weak evidence
--- a/balsamyard/src/Request/RequestRun.h
+++ b/balsamyard/src/Request/RequestRun.h
@@ -80,7 +80,11 @@
   void on(const ScatterFinished &Effect);
   void onEnd(AttemptIndex Attempt, Expected<HttpResponse> Result, bool Sent);
   void release();
-  void reportCrash(const CallerAnswer &Answer) const;
+  void reportOutcome(const CallerAnswer &Answer) const;
+
+  /// \brief Reports the attempts whose connection ended. \returns whether
+  /// there were any.
+  bool reportBroken() const;
   void log(const CallerAnswer &Answer, TimePoint Now) const;
 
   RequestContext &Context;
--- a/balsamyard/src/Request/Scatter.cpp
+++ b/balsamyard/src/Request/Scatter.cpp
@@ -271,11 +271,11 @@
   return Result;
 }
 
-std::vector<TargetId> Scatter::crashedTargets() const {
-  std::vector<TargetId> Result;
+std::vector<BrokenAttempt> Scatter::brokenAttempts() const {
+  std::vector<BrokenAttempt> Result;
   for (const Attempt &Entry : this->Attempts)
-    if (Entry.Crashed)
-      Result.push_back(Entry.Target->Info.Id);
+    if (Entry.Result == AttemptResult::Broken)
+      Result.push_back({Entry.Target, Entry.StateSince + Entry.Elapsed});
   return Result;
 }
 
@@ -384,8 +384,6 @@
   Attempt &Ended = this->Attempts[Event.Attempt];
   if (Ended.State == AttemptState::Ended)
     return;
-  Ended.Crashed = Event.Failure == AttemptFailure::Broken &&
-                  Ended.Target->reach() != Reach::Up;
   this->closeAttempt(Ended,
                      Event.Failure == AttemptFailure::NotSent
                          ? AttemptResult::NotSent
--- a/balsamyard/src/Request/Scatter.h
+++ b/balsamyard/src/Request/Scatter.h
@@ -134,9 +134,8 @@
   /// MaxDescribed of them.
   std::string describe(TimePoint Now) const;
 
-  /// \returns the targets that lost all their connections while they were
-  /// processing the request.
-  std::vector<TargetId> crashedTargets() const;
+  /// \returns the attempts whose connection ended before the answer.
+  std::vector<BrokenAttempt> brokenAttempts() const;
 
   const ScatterCounts &counts() const { return this->Counts; }
   const ScatterInput &input() const { return this->Input; }
@@ -176,7 +175,6 @@
     bool Extra = false; ///< Charged to the retry budget.
     bool Hedge = false;
     bool Late = false;
-    bool Crashed = false; ///< The target lost all its connections during it.
     AttemptResult Result = AttemptResult::Open;
     Duration Elapsed{};
     TimePoint StateSince{}; ///< Time of submission or, once sent, of sending.
--- a/balsamyard/src/Version/CrashList.h
+++ b/balsamyard/src/Version/CrashList.h
@@ -2,6 +2,7 @@
 
 #include "balsamyard/src/Core/Names.h"
 #include "balsamyard/src/Core/RefCounted.h"
+#include "balsamyard/src/Version/KnownTarget.h"
 
 #include <cstdint>
 #include <optional>
@@ -28,8 +29,20 @@
   }
 };
 
-/// \brief A request failed, and these targets lost all connections while they
-/// ran it.
+/// \brief An attempt whose connection ended before the answer.
+struct BrokenAttempt {
+  Ref<KnownTarget> Target;
+  TimePoint At{};
+};
+
+/// \brief A request got no success, and connections ended while it ran.
+struct RequestBroken {
+  Fingerprint Print{};
+  std::vector<BrokenAttempt> Attempts;
+};
+
+/// \brief A request got no success, and these targets crashed while they ran
+/// it.
 struct RequestCrashedTargets {
   Fingerprint Print{};
   std::vector<TargetId> Targets;
@@ -40,7 +53,8 @@
   Fingerprint Print{};
 };
 
+/// \brief What requests report of crashes.
 using RequestCrashEvent =
-    std::variant<RequestCrashedTargets, SuspectedRequestSucceeded>;
+    std::variant<RequestBroken, SuspectedRequestSucceeded>;
 
 } // namespace balsamyard
--- a/balsamyard/src/Version/KnownTarget.h
+++ b/balsamyard/src/Version/KnownTarget.h
@@ -114,6 +114,18 @@
   /// description, has said of itself.
   void inheritStatements(const KnownTarget &Former);
 
+  /// \brief Records that all connections to the target broke.
+  void noteLoss(TimePoint Now) {
+    this->LostAtMicros.store(Now.time_since_epoch().count(),
+                             std::memory_order_relaxed);
+  }
+
+  /// \returns when all connections to the target last broke.
+  TimePoint lostAt() const {
+    return TimePoint(
+        Duration(this->LostAtMicros.load(std::memory_order_relaxed)));
+  }
+
   /// \brief Whether this process keeps connections to the target open. A target
   /// accepts too few for every process to do so; the others connect on demand.
   bool preferred() const {
@@ -254,6 +266,7 @@
 
   std::atomic<AdminState> CurrentAdminState{AdminState::Serving};
   std::atomic<Reach> CurrentReach{Reach::Up};
+  std::atomic<std::int64_t> LostAtMicros{0};
   std::atomic<bool> Departing{false};
   std::atomic<std::int64_t> PausedUntilMicros{0};
   std::atomic<bool> Preferred{true};
--- a/tests/path/CrashRecordsTest.cpp
+++ b/tests/path/CrashRecordsTest.cpp
@@ -1,4 +1,5 @@
 #include "balsamyard/src/Process/CrashRecords.h"
+#include "balsamyard/src/Process/CrashWatch.h"
 #include "tests/path/PathWorld.h"
 
 #include <catch2/catch.hpp>
@@ -160,3 +161,38 @@
     }
   }
 }
+
+SCENARIO("a broken attempt turns out to be a crash", "[crash]") {
+  const TimePoint Broken{1000 * Second};
+  TargetInfo Info;
+  Info.Id.Text = "a";
+  const auto Target = makeRef<KnownTarget>(Info);
+  CrashWatch Watch;
+  const auto Found = [&](TimePoint Now) { return Watch.take(Now).size(); };
+  Watch.add({Print, {{Target, Broken}}}, Broken);
+  REQUIRE(Watch.nextCheck());
+  CHECK(Found(Broken) == 0);
+  GIVEN("a target whose other connections end after that of the request") {
+    Target->noteLoss(Broken + 100 * Millisecond);
+    THEN("it has crashed") { CHECK(Found(*Watch.nextCheck()) == 1); }
+  }
+  GIVEN("a target whose other connections ended before") {
+    Target->noteLoss(Broken - 100 * Millisecond);
+    THEN("it has crashed") { CHECK(Found(*Watch.nextCheck()) == 1); }
+  }
+  GIVEN("a target that keeps other connections") {
+    Target->noteLoss(Broken - 10 * Second);
+    THEN("it has closed only this one") {
+      CHECK(Found(*Watch.nextCheck()) == 0);
+      CHECK_FALSE(Watch.nextCheck());
+    }
+  }
+  GIVEN("a loss of all targets that breaks very many requests") {
+    for (int Count = 0; Count < 10000; ++Count)
+      Watch.add({Print, {{Target, Broken}}}, Broken);
+    Target->noteLoss(Broken);
+    THEN("the requests that wait stay bounded") {
+      CHECK(Found(*Watch.nextCheck()) == CrashWatch::MaxWaiting);
+    }
+  }
+}
--- a/tests/path/FakeFleet.h
+++ b/tests/path/FakeFleet.h
@@ -247,6 +247,15 @@
     });
   }
 
+  std::vector<std::string> names(const std::string &Kind) {
+    std::vector<std::string> Result;
+    this->onThread([&] {
+      for (const auto &[Name, Value] : this->Kinds[Kind])
+        Result.push_back(Name);
+    });
+    return Result;
+  }
+
   std::size_t count(const std::string &Kind) {
     std::size_t Result = 0;
     this->onThread([&] { Result = this->Kinds[Kind].size(); });
--- a/tests/path/NodeTest.cpp
+++ b/tests/path/NodeTest.cpp
@@ -354,6 +354,10 @@
   for (const char *Id : {"i-1", "i-2", "i-3", "i-4", "i-5"})
     Fragile.push_back(&World.add("fragile", Id, "", Crashing{}));
   World.add("sound", "i-6", "stored", WellBehaved{});
+  World.addRoute("/mixed/",
+                 {{"gather", {"crashing", "silent"}}, {"minCoverage", 0.5}});
+  World.add("crashing", "i-7", "", Crashing{});
+  FakeTarget &Hanging = World.add("silent", "i-8", "", Silent{});
   World.start();
   FakeCaller Caller = World.caller();
 
@@ -387,6 +391,23 @@
     }
   }
 
+  // Guards against crashes that are not counted (BUDGET).
+  GIVEN("a request that crashes a target, and whose caller leaves before the "
+        "answer") {
+    Caller.send(get("/mixed/x"));
+    while (Hanging.requests().empty())
+      ::usleep(1000);
+    ::usleep(50'000);
+    Caller.close();
+    THEN("the crash is recorded") {
+      const TimePoint GiveUp = steadyNow() + 5 * Second;
+      while (World.Store.count("balsamyard-crashes") == 0 &&
+             steadyNow() < GiveUp)
+        ::usleep(2000);
+      CHECK(World.Store.count("balsamyard-crashes") == 1);
+    }
+  }
+
   GIVEN("a request that crashed targets at another node") {
     CrashRecord Record;
     Record.Print = fingerprintOf("GET", "a.example", "/sound/x", "");
--- a/tests/path/TargetChannelTest.cpp
+++ b/tests/path/TargetChannelTest.cpp
@@ -256,3 +256,86 @@
     return Channel->isIdle();
   });
 }
+
+// Guards against a crash that is taken for an idle close (BUDGET): the
+// connection with the request breaks first, and those that are idle for more
+// than a second end right after it.
+SCENARIO("a target that crashes under a request loses its idle connections",
+         "[channel][crash]") {
+  std::vector<Ref<ServerConnection>> Peers;
+  bool Crashed = false;
+  FakeServer Running([&](ServerConnection &Peer, const HttpRequest &Request) {
+    if (Request.Target == "/health") {
+      Peer.close();
+      return;
+    }
+    const Ref<ServerConnection> Held(&Peer);
+    if (Peers.size() < 2) {
+      Peers.push_back(Held);
+      // Answered together, so that each has a connection of its own.
+      if (Peers.size() == 2)
+        for (const Ref<ServerConnection> &Answered : Peers)
+          Answered->answer("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+                           true);
+      return;
+    }
+    Crashed = true;
+    Held->close();
+    for (const Ref<ServerConnection> &Idle : Peers)
+      Idle->close();
+  });
+  const std::string Address = Running.address();
+  asio::io_context Io;
+  const TargetProtocol Protocol(platform::makeAdapter().Headers);
+  TargetInfo Info;
+  Info.Id.Text = "i-1";
+  Info.Address = {"127.0.0.1", static_cast<std::uint16_t>(std::stoi(
+                                   Address.substr(Address.find(':') + 1)))};
+  const auto Target = makeRef<KnownTarget>(Info);
+  const auto Channel = makeRef<TargetChannel>(Io, Target, Protocol);
+  Channel->configure({2, 2}, "/health");
+  const auto RunFor = [&](Duration Time) {
+    const TimePoint End = steadyNow() + Time;
+    while (steadyNow() < End)
+      Io.run_one_for(std::chrono::milliseconds(5));
+  };
+  int Ended = 0;
+  const auto Send = [&] {
+    const Ref<LinkCall> Next = call(*Target);
+    Next->Deadline = steadyNow() + 10 * Second;
+    Next->Stats = makeRef<RouteStats>(Second);
+    Next->MakeMessage = [](TimePoint) {
+      return std::string("GET /x HTTP/1.1\r\nHost: a\r\n\r\n");
+    };
+    Next->OnEnd = [&](const Expected<HttpResponse> &, bool) { ++Ended; };
+    Channel->submit(Next);
+  };
+
+  GIVEN("two idle connections") {
+    Channel->preopen();
+    Channel->preopen();
+    RunFor(100 * Millisecond);
+    Send();
+    Send();
+    while (Ended < 2)
+      RunFor(5 * Millisecond);
+    RunFor(1200 * Millisecond);
+    WHEN("the target crashes when it gets a request") {
+      Send();
+      while (Ended < 3)
+        RunFor(5 * Millisecond);
+      RunFor(100 * Millisecond);
+      REQUIRE(Crashed);
+      THEN("it is known to have lost all its connections") {
+        CHECK(Target->reach() != Reach::Up);
+      }
+    }
+  }
+  Channel->retire();
+  while (!Channel->isIdle()) {
+    Channel->tick(steadyNow());
+    RunFor(5 * Millisecond);
+  }
+  Running.stop();
+  Peers.clear();
+}
