Tell all nodes of requests that crash targets, and store the records for certain

A request under which three targets had ended was sent to more of them (BUDGET). Cause: a crash was recorded once, by one node, on one path. A write that failed was not repeated (nor a replacement answered 404, nor a creation answered 409), a record missing from a list was forgotten after 10 s, a restarted process replaced the record of the former one by a smaller one, and the others read the records every 4 s with calls whose data may be 3 s old.

A record is now written until the store has it, and again if a list lacks that of a refused request; nodes tell each other at once, on the way of the reports about targets; each process has records of its own; records are read when a node begins to read the store and when the store is back. A list is not read anew while it is being read.

Failed before: NodeTest with a silent store (0 records instead of 1 10 s after its return) and with a removed record (the request ran again).

--- a/balsamyard/src/Process/CrashAgent.h
+++ b/balsamyard/src/Process/CrashAgent.h
@@ -29,6 +29,9 @@
     /// All records were read from the store.
     std::function<void(KindUpdate)> OnListed;
 
+    /// The other nodes have to be told of a record of this node.
+    std::function<void(const CrashRecord &)> OnTell;
+
     /// \returns whether this node reads the store. Otherwise it gets the
     /// records from the node that it follows.
     std::function<bool()> ReadsStore;
@@ -39,6 +42,12 @@
 
   void start() { this->maintain(); }
 
+  /// \brief Reads the records now, because the store can be read again.
+  void refresh();
+
+  /// \brief Applies a record that another node has told of.
+  void hear(const CrashRecord &Record);
+
   /// \brief Applies the complete list of records.
   void setRecords(const std::vector<StoredObject> &Listed);
 
@@ -54,7 +63,10 @@
   void scheduleConfirmation();
   void apply(const CrashRecordEvent &Event);
   void perform(const WriteCrashRecord &Effect);
+  void perform(const TellCrashRecord &Effect);
   void perform(const RemoveCrashRecord &Effect);
+  void write(const CrashRecord &Record, bool Create, bool Last);
+  void scheduleRewrite();
   void readPage(const std::string &After);
   void onPage(FeedPage &Page);
   void maintain();
@@ -67,7 +79,9 @@
   StoreCallQueue Calls;
   asio::steady_timer Timer;
   asio::steady_timer ConfirmTimer;
+  asio::steady_timer RewriteTimer;
   KindUpdate Listing; ///< The pages read so far.
+  bool Reading = false;
 };
 
 } // namespace balsamyard
--- a/balsamyard/src/Process/CrashRecords.cpp
+++ b/balsamyard/src/Process/CrashRecords.cpp
@@ -81,23 +81,84 @@
   return Result;
 }
 
+bool CrashRecords::hasUnstored() const {
+  return std::any_of(this->Records.begin(), this->Records.end(),
+                     [this](const auto &Item) {
+                       return this->isOwn(Item.second) && !Item.second.Stored;
+                     });
+}
+
+void CrashRecords::write(Entry &Item, TimePoint Now, Effects &Out) const {
+  Item.Stored = false;
+  // The end of the running call shows that the record has changed meanwhile.
+  if (Item.Writing)
+    return;
+  Item.Writing = true;
+  Item.WrittenAt = Now;
+  Out.push_back(WriteCrashRecord{Item.Record});
+}
+
+void CrashRecords::add(const CrashRecord &Record, TimePoint Now) {
+  const auto [It, Inserted] =
+      this->Records.try_emplace(crashRecordName(Record));
+  Entry &Item = It->second;
+  if (Inserted)
+    Item = {Record, Now, Now, false, false, {}};
+  // A list may be older than what the node has told.
+  else if (Record.Requests >= Item.Record.Requests)
+    Item.Record = Record;
+}
+
+void CrashRecords::dropMissing(const std::set<std::string> &Listed,
+                               TimePoint Now) {
+  const std::map<Fingerprint, CrashStatus> Standings = this->statuses();
+  for (auto It = this->Records.begin(); It != this->Records.end();) {
+    Entry &Item = It->second;
+    const bool Refused =
+        Standings.at(Item.Record.Print) == CrashStatus::Refused &&
+        Now - Item.Since < RefuseTime;
+    const bool Keep =
+        Listed.contains(It->first) || Now - Item.ChangedAt < StaleTime;
+    if (!Keep && !Refused) {
+      It = this->Records.erase(It);
+      continue;
+    }
+    // No node removes the records of a refused request, so the store has lost
+    // this one.
+    if (!Keep)
+      Item.Stored = false;
+    ++It;
+  }
+}
+
 void CrashRecords::on(const CrashRecordsListed &Event, TimePoint Now,
                       Effects &) {
   std::set<std::string> Listed;
   for (const CrashRecord &Record : Event.Records) {
-    const std::string Name = crashRecordName(Record);
-    Listed.insert(Name);
-    const auto [It, Inserted] = this->Records.try_emplace(Name);
-    if (Inserted)
-      It->second.Since = Now;
-    if (Inserted || Record.Node != this->Self)
-      It->second.Record = Record;
+    Listed.insert(crashRecordName(Record));
+    if (Record.Node != this->Self)
+      this->add(Record, Now);
   }
-  std::erase_if(this->Records, [&](const auto &Item) {
-    return !Listed.contains(Item.first) &&
-           (Item.second.Record.Node != this->Self ||
-            Now - Item.second.WrittenAt >= StaleTime);
-  });
+  this->dropMissing(Listed, Now);
+}
+
+void CrashRecords::on(const CrashRecordHeard &Event, TimePoint Now, Effects &) {
+  if (Event.Record.Node == this->Self)
+    return;
+  this->add(Event.Record, Now);
+  this->Records[crashRecordName(Event.Record)].ChangedAt = Now;
+}
+
+void CrashRecords::on(const CrashRecordWritten &Event, TimePoint Now,
+                      Effects &Out) {
+  const auto Found = this->Records.find(crashRecordName(Event.Record));
+  if (Found == this->Records.end())
+    return;
+  Entry &Item = Found->second;
+  Item.Writing = false;
+  Item.Stored = Event.Accepted && Item.Record.Requests == Event.Record.Requests;
+  if (Event.Accepted && !Item.Stored)
+    this->write(Item, Now, Out);
 }
 
 void CrashRecords::on(const RequestCrashedTargets &Event, TimePoint Now,
@@ -106,22 +167,22 @@
   Initial.Print = Event.Print;
   Initial.Node = this->Self;
   const std::string Name = crashRecordName(Initial);
-  const auto Found = this->Records.find(Name);
-  const bool Create = Found == this->Records.end();
-  if (Create) {
+  if (!this->Records.contains(Name)) {
     const auto Count = std::count_if(
-        this->Records.begin(), this->Records.end(), [this](const auto &Item) {
-          return Item.second.Record.Node == this->Self;
-        });
+        this->Records.begin(), this->Records.end(),
+        [this](const auto &Item) { return this->isOwn(Item.second); });
     if (static_cast<std::size_t>(Count) >= MaxOwnRecords)
       return;
-    this->Records[Name] = {Initial, Now, Now};
+    this->add(Initial, Now);
   }
-  this->Records[Name].WrittenAt = Now;
-  CrashRecord &Record = this->Records[Name].Record;
-  ++Record.Requests;
-  Record.Targets.insert(Event.Targets.begin(), Event.Targets.end());
-  Out.push_back(WriteCrashRecord{Record, Create});
+  Entry &Item = this->Records[Name];
+  Item.ChangedAt = Now;
+  ++Item.Record.Requests;
+  for (const TargetId &Target : Event.Targets)
+    if (Item.Record.Targets.size() < MaxTargets)
+      Item.Record.Targets.insert(Target);
+  this->write(Item, Now, Out);
+  Out.push_back(TellCrashRecord{Item.Record});
 }
 
 void CrashRecords::on(const SuspectedRequestSucceeded &Event, TimePoint,
@@ -149,6 +210,10 @@
     Out.push_back(RemoveCrashRecord{Item.first});
     return true;
   });
+  for (auto &[Name, Item] : this->Records)
+    if (this->isOwn(Item) && !Item.Stored &&
+        Now - Item.WrittenAt >= RewriteInterval)
+      this->write(Item, Now, Out);
 }
 
 } // namespace balsamyard
--- a/balsamyard/src/Process/FeedCodec.cpp
+++ b/balsamyard/src/Process/FeedCodec.cpp
@@ -107,14 +107,35 @@
   return true;
 }
 
+Json crashList(const std::vector<CrashRecord> &Records) {
+  Json Result = Json::array();
+  for (const CrashRecord &Record : Records)
+    Result.push_back(encodeCrashRecord(Record));
+  return Result;
+}
+
+bool readCrashList(const Json &List, std::vector<CrashRecord> &Records) {
+  if (!List.is_array())
+    return false;
+  for (const Json &Item : List) {
+    Expected<CrashRecord> Read = decodeCrashRecord(Item);
+    if (!Read)
+      return false;
+    Records.push_back(std::move(*Read));
+  }
+  return true;
+}
+
 Expected<TargetReport> readTargetReport(const Json &Document) {
   const Json &Forwarded = member(Document, "forwarded");
-  // Former releases send no list of unlimited targets.
+  // Former releases send neither unlimited targets nor crashes.
   const Json &Unlimited = member(Document, "unlimited");
+  const Json &Crashes = member(Document, "crashes");
   TargetReport Result;
   if (!Forwarded.is_boolean() ||
       !readTargetList(member(Document, "slow"), Result.Slow) ||
-      (!Unlimited.is_null() && !readTargetList(Unlimited, Result.Unlimited)))
+      (!Unlimited.is_null() && !readTargetList(Unlimited, Result.Unlimited)) ||
+      (!Crashes.is_null() && !readCrashList(Crashes, Result.Crashes)))
     return malformed("a field of the report is missing or has the wrong type");
   Result.Forwarded = Forwarded.get<bool>();
   return Result;
@@ -125,6 +146,7 @@
 std::string encodeTargetReport(const TargetReport &Report) {
   return toCbor({{"slow", targetList(Report.Slow)},
                  {"unlimited", targetList(Report.Unlimited)},
+                 {"crashes", crashList(Report.Crashes)},
                  {"forwarded", Report.Forwarded}});
 }
 
--- a/balsamyard/src/Process/FeedCodec.h
+++ b/balsamyard/src/Process/FeedCodec.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "balsamyard/src/Core/Error.h"
+#include "balsamyard/src/Process/CrashRecords.h"
 #include "balsamyard/src/Process/ObjectCache.h"
 
 #include <array>
@@ -43,7 +44,8 @@
   bool More = false;
 };
 
-/// \brief What nodes found out about targets. \sa TargetReports
+/// \brief What nodes found out about targets and about requests that crash
+/// them. \sa TargetReports
 struct TargetReport {
   std::vector<TargetId> Slow;
 
@@ -54,7 +56,12 @@
   /// readers of the failure domain.
   bool Forwarded = false;
 
-  bool empty() const { return this->Slow.empty() && this->Unlimited.empty(); }
+  std::vector<CrashRecord> Crashes{};
+
+  bool empty() const {
+    return this->Slow.empty() && this->Unlimited.empty() &&
+           this->Crashes.empty();
+  }
 };
 
 using FeedMessage = std::variant<FeedSourceState, KindUpdatePart, TargetReport>;
--- a/balsamyard/src/Process/FleetAgent.cpp
+++ b/balsamyard/src/Process/FleetAgent.cpp
@@ -16,6 +16,10 @@
     ObjectKind::Configuration, ObjectKind::Targets, ObjectKind::Evacuations,
     ObjectKind::Moves};
 
+/// Maximum number of crash records in one report. Losing many targets at once
+/// breaks many requests, and the store has the other records.
+constexpr std::size_t MaxCrashBatch = 8;
+
 /// Source of updates that this node has read itself, in the log.
 constexpr const char *StoreSource = "store";
 
@@ -53,6 +57,7 @@
                [this](KindUpdate Update) {
                  this->onUpdate(std::move(Update), StoreSource);
                },
+               [this](const CrashRecord &Record) { this->tell(Record); },
                [this] { return this->readsStore(); }}),
       Registry(Context, Settings, Adapter, this->Fleet,
                {[this](KindUpdate Update) {
@@ -109,10 +114,18 @@
     this->Slow.add(Target, Now);
   for (const TargetId &Target : Report.Unlimited)
     this->Unlimited.add(Target, Now);
+  for (const CrashRecord &Record : Report.Crashes)
+    if (this->Crashes.size() < TargetReports::MaxWaiting)
+      this->Crashes[crashRecordName(Record)] = Record;
 }
 
 TargetReport FleetAgent::ReportQueues::take(bool Forwarded, TimePoint Now) {
-  return {this->Slow.take(Now), this->Unlimited.take(Now), Forwarded};
+  TargetReport Result{this->Slow.take(Now), this->Unlimited.take(Now),
+                      Forwarded};
+  while (!this->Crashes.empty() && Result.Crashes.size() < MaxCrashBatch)
+    Result.Crashes.push_back(
+        std::move(this->Crashes.extract(this->Crashes.begin()).mapped()));
+  return Result;
 }
 
 void FleetAgent::scanTargets() {
@@ -150,7 +163,7 @@
       // Whether a target is slow depends on where it is called from.
       const bool IsNear = Reader.Domain == this->Settings.Domain;
       const TargetReport Report{IsNear ? Own.Slow : std::vector<TargetId>{},
-                                Own.Unlimited, true};
+                                Own.Unlimited, true, Own.Crashes};
       if (!Report.empty())
         this->Subscription.report(Reader.Peers, Report);
     }
@@ -160,6 +173,13 @@
 void FleetAgent::applyReport(const TargetReport &Report) {
   this->Fleet.reportSlow(Report.Slow, steadyNow());
   this->Fleet.reportEndedLimits(Report.Unlimited);
+  for (const CrashRecord &Record : Report.Crashes)
+    this->Crashes.hear(Record);
+}
+
+void FleetAgent::tell(const CrashRecord &Record) {
+  if (this->Settings.Peers.Port != 0)
+    this->OwnReports.add({{}, {}, false, {Record}}, steadyNow());
 }
 
 void FleetAgent::onReport(const TargetReport &Report) {
@@ -177,6 +197,7 @@
   logEvent(LogLevel::Info, "store-reading", {});
   this->ReadingStore.store(true, std::memory_order_relaxed);
   this->Reader.start(this->Objects);
+  this->Crashes.refresh();
 }
 
 void FleetAgent::on(const LeaveStore &) {
@@ -219,6 +240,8 @@
   const std::optional<TimePoint> Returned = this->Reader.storeReturnedAt();
   if (Returned)
     this->Fleet.markStoreReturned(*Returned);
+  if (this->Reader.isConnected())
+    this->Crashes.refresh();
   this->Relay.setState(this->Reader.isConnected(), Returned);
 }
 
--- a/balsamyard/src/Process/FleetAgent.h
+++ b/balsamyard/src/Process/FleetAgent.h
@@ -59,6 +59,7 @@
   struct ReportQueues {
     TargetReports Slow;
     TargetReports Unlimited;
+    std::map<std::string, CrashRecord> Crashes; ///< By name of the record.
 
     void add(const TargetReport &Report, TimePoint Now);
     TargetReport take(bool Forwarded, TimePoint Now);
@@ -80,6 +81,7 @@
   void exchangeReports();
   void applyReport(const TargetReport &Report);
   void onReport(const TargetReport &Report);
+  void tell(const CrashRecord &Record);
   void handle(const FeedSourceEvent &Event);
   void on(const ReadStore &Effect);
   void on(const LeaveStore &Effect);
--- a/tests/path/CrashRecordsTest.cpp
+++ b/tests/path/CrashRecordsTest.cpp
@@ -3,6 +3,7 @@
 #include "tests/path/PathWorld.h"
 
 #include <catch2/catch.hpp>
+#include <memory>
 
 using namespace balsamyard;
 using namespace balsamyard::test;
@@ -16,6 +17,8 @@
   std::vector<CrashRecords> Nodes;
   std::map<std::string, CrashRecord> Stored;
   TimePoint Now{Second * 1000};
+  bool Telling = true; ///< Nodes reach each other.
+  bool Lossy = false;  ///< The store accepts no record.
 
   explicit CrashWorld(std::size_t Count) {
     for (std::size_t Index = 0; Index < Count; ++Index)
@@ -25,14 +28,22 @@
   void handle(std::size_t Node, const CrashRecordEvent &Event) {
     for (const CrashRecordEffect &Effect :
          this->Nodes[Node].handle(Event, this->Now))
-      std::visit([this](const auto &Body) { this->perform(Body); }, Effect);
+      std::visit([&](const auto &Body) { this->perform(Node, Body); }, Effect);
   }
 
-  void perform(const WriteCrashRecord &Effect) {
-    this->Stored[crashRecordName(Effect.Record)] = Effect.Record;
+  void perform(std::size_t Node, const WriteCrashRecord &Effect) {
+    if (!this->Lossy)
+      this->Stored[crashRecordName(Effect.Record)] = Effect.Record;
+    this->handle(Node, CrashRecordWritten{Effect.Record, !this->Lossy});
   }
 
-  void perform(const RemoveCrashRecord &Effect) {
+  void perform(std::size_t Node, const TellCrashRecord &Effect) {
+    for (std::size_t Other = 0; Other < this->Nodes.size(); ++Other)
+      if (Other != Node && this->Telling)
+        this->handle(Other, CrashRecordHeard{Effect.Record});
+  }
+
+  void perform(std::size_t, const RemoveCrashRecord &Effect) {
     this->Stored.erase(Effect.Name);
   }
 
@@ -124,6 +135,60 @@
     }
   }
 
+  GIVEN("a record that the store does not accept") {
+    World.Lossy = true;
+    World.Telling = false;
+    World.crash(0, {"a", "b", "c"});
+    REQUIRE(World.Stored.empty());
+    World.Lossy = false;
+    WHEN("time passes") {
+      World.handle(0, CrashTimePassed{0});
+      THEN("it is written again, not too soon") {
+        CHECK(World.Stored.empty());
+        World.Now += CrashRecords::RewriteInterval;
+        World.handle(0, CrashTimePassed{0});
+        CHECK(World.Stored.size() == 1);
+        World.Now += CrashRecords::RewriteInterval;
+        World.Stored.clear();
+        World.handle(0, CrashTimePassed{0});
+        CHECK(World.Stored.empty());
+      }
+    }
+  }
+
+  GIVEN("a refused request whose records are lost") {
+    World.crash(0, {"a", "b"});
+    World.crash(1, {"c"});
+    World.Stored.clear();
+    World.Now += CrashRecords::StaleTime;
+    World.readAll();
+    THEN("all nodes refuse it, and write the records again") {
+      for (std::size_t Node = 0; Node < 3; ++Node) {
+        CHECK(World.status(Node) == CrashStatus::Refused);
+        World.handle(Node, CrashTimePassed{static_cast<std::uint32_t>(Node)});
+      }
+      CHECK(World.Stored.size() == 2);
+    }
+  }
+
+  GIVEN("a node that has told of a crash") {
+    CrashRecord Record;
+    Record.Print = Print;
+    Record.Node.Text = "node-7";
+    Record.Requests = 2;
+    Record.Targets = {TargetId{"a"}, TargetId{"b"}, TargetId{"c"}};
+    World.handle(0, CrashRecordHeard{Record});
+    REQUIRE(World.status(0) == CrashStatus::Refused);
+    THEN("a list that is older does not take it back") {
+      World.handle(0, CrashRecordsListed{});
+      CHECK(World.status(0) == CrashStatus::Refused);
+      Record.Requests = 1;
+      Record.Targets.clear();
+      World.handle(0, CrashRecordsListed{{Record}});
+      CHECK(World.status(0) == CrashStatus::Refused);
+    }
+  }
+
   GIVEN("a loss of all targets that breaks very many requests") {
     for (std::uint64_t Number = 0; Number < 1000; ++Number)
       World.handle(0,
@@ -134,6 +199,166 @@
   }
 }
 
+namespace {
+
+/// \brief A fleet whose callers repeat one request that crashes each target
+/// which runs it. Lists of the store are read every 4 s and are 3 s old; nodes
+/// tell each other of records within 0.75 s.
+class CrashingFleet {
+public:
+  /// Attempts that are sent later than this after the third crash count.
+  static constexpr Duration ContactTime = std::chrono::seconds(4);
+
+  explicit CrashingFleet(std::size_t Count) : Random(Count) {
+    for (std::size_t Index = 0; Index < Count; ++Index)
+      this->addNode("node-" + std::to_string(Index));
+  }
+
+  /// \brief Replaces the process of a node by one that knows nothing.
+  void restart(std::size_t Node) {
+    const std::string Name =
+        "node-" + std::to_string(Node) + "." + std::to_string(++this->Starts);
+    this->Nodes[Node] = std::make_unique<CrashRecords>(NodeName{Name});
+    this->list(Node);
+  }
+
+  void run(Duration Time) {
+    for (const TimePoint End = this->Now + Time; this->Now < End;
+         this->Now += Step) {
+      this->History[this->Now] = this->Stored;
+      this->deliver();
+      for (std::size_t Node = 0; Node < this->Nodes.size(); ++Node)
+        this->handle(Node, CrashTimePassed{static_cast<std::uint32_t>(Node)});
+      for (std::size_t Node = 0; Node < this->Nodes.size(); ++Node)
+        if ((this->Now.time_since_epoch() + Node * Step) % ReadInterval ==
+            Duration::zero())
+          this->list(Node);
+      this->request(
+          this->Random.below(static_cast<std::uint32_t>(this->Nodes.size())));
+    }
+  }
+
+  bool StoreAway = false;
+  bool Telling = true;
+  int Crashes = 0;
+  int LateAttempts = 0; ///< Attempts that count, and reach targets.
+
+private:
+  static constexpr Duration Step = std::chrono::milliseconds(250);
+  static constexpr Duration ReadInterval = std::chrono::seconds(4);
+  static constexpr Duration ListAge = std::chrono::seconds(3);
+  static constexpr Duration TellTime = std::chrono::milliseconds(750);
+
+  struct Told {
+    TimePoint At{};
+    CrashRecord Record;
+  };
+
+  void addNode(const std::string &Name) {
+    this->Nodes.push_back(std::make_unique<CrashRecords>(NodeName{Name}));
+  }
+
+  /// Each attempt crashes one target, whose replacement has another id.
+  void request(std::size_t Node) {
+    if (this->Nodes[Node]->list()->find(Print) == CrashStatus::Refused)
+      return;
+    if (this->ThirdAt && this->Now - *this->ThirdAt > ContactTime)
+      ++this->LateAttempts;
+    if (++this->Crashes == 3)
+      this->ThirdAt = this->Now;
+    this->handle(Node,
+                 RequestCrashedTargets{
+                     Print, {TargetId{"t" + std::to_string(this->Crashes)}}});
+  }
+
+  void handle(std::size_t Node, const CrashRecordEvent &Event) {
+    for (const CrashRecordEffect &Effect :
+         this->Nodes[Node]->handle(Event, this->Now))
+      std::visit([&](const auto &Body) { this->perform(Node, Body); }, Effect);
+  }
+
+  void perform(std::size_t Node, const WriteCrashRecord &Effect) {
+    if (!this->StoreAway)
+      this->Stored[crashRecordName(Effect.Record)] = Effect.Record;
+    this->handle(Node, CrashRecordWritten{Effect.Record, !this->StoreAway});
+  }
+
+  void perform(std::size_t, const TellCrashRecord &Effect) {
+    if (this->Telling)
+      this->Underway.push_back({this->Now + TellTime, Effect.Record});
+  }
+
+  void perform(std::size_t, const RemoveCrashRecord &Effect) {
+    this->Stored.erase(Effect.Name);
+  }
+
+  void deliver() {
+    const std::vector<Told> Sent = std::exchange(this->Underway, {});
+    for (const Told &Message : Sent)
+      if (Message.At > this->Now)
+        this->Underway.push_back(Message);
+      else
+        for (std::size_t Node = 0; Node < this->Nodes.size(); ++Node)
+          this->handle(Node, CrashRecordHeard{Message.Record});
+  }
+
+  void list(std::size_t Node) {
+    const auto Past = this->History.upper_bound(this->Now - ListAge);
+    if (this->StoreAway || Past == this->History.begin())
+      return;
+    CrashRecordsListed Event;
+    for (const auto &[Name, Record] : std::prev(Past)->second)
+      Event.Records.push_back(Record);
+    this->handle(Node, Event);
+  }
+
+  std::vector<std::unique_ptr<CrashRecords>> Nodes;
+  RandomGenerator Random;
+  TimePoint Now{Second * 1000};
+  std::optional<TimePoint> ThirdAt;
+  int Starts = 0;
+  std::map<std::string, CrashRecord> Stored;
+  std::map<TimePoint, std::map<std::string, CrashRecord>> History;
+  std::vector<Told> Underway;
+};
+
+} // namespace
+
+// Guards against a request that goes on to crash targets after the third crash
+// (BUDGET): three attempts that count are allowed.
+SCENARIO("a request that crashes targets is soon refused by all nodes",
+         "[crash]") {
+  for (const std::size_t Count : {7U, 87U, 295U}) {
+    CrashingFleet Fleet(Count);
+    GIVEN("a fleet of " + std::to_string(Count) + " nodes") {
+      WHEN("the request is repeated") {
+        Fleet.run(60 * Second);
+        THEN("few of the attempts that count reach targets") {
+          CHECK(Fleet.LateAttempts <= 3);
+        }
+      }
+      WHEN("nodes are restarted meanwhile") {
+        for (std::size_t Node = 0; Node < 6; ++Node) {
+          Fleet.run(5 * Second);
+          Fleet.restart(Node);
+        }
+        THEN("few of the attempts that count reach targets") {
+          CHECK(Fleet.LateAttempts <= 3);
+        }
+      }
+      WHEN("the store is away for half a minute") {
+        Fleet.StoreAway = true;
+        Fleet.run(30 * Second);
+        Fleet.StoreAway = false;
+        Fleet.run(60 * Second);
+        THEN("the nodes refuse it all the same") {
+          CHECK(Fleet.LateAttempts <= 3);
+        }
+      }
+    }
+  }
+}
+
 SCENARIO("crash records pass through the store", "[crash]") {
   CrashRecord Record;
   Record.Print = Print;
--- a/tests/path/FeedRelayTest.cpp
+++ b/tests/path/FeedRelayTest.cpp
@@ -129,6 +129,21 @@
       CHECK(Nodes.SlowReceived[0].Forwarded);
     }
   }
+  WHEN("one reports a request that crashes targets") {
+    CrashRecord Record;
+    Record.Print = Fingerprint{42};
+    Record.Node.Text = "node-1";
+    Record.Requests = 2;
+    Record.Targets = {TargetId{"i-1"}, TargetId{"i-2"}};
+    Nodes.Subscription->report(Nodes.Relay.local(), {{}, {}, false, {Record}});
+    Nodes.runUntil([&] { return !Nodes.Reports.empty(); });
+    THEN("the record arrives") {
+      REQUIRE(Nodes.Reports[0].Crashes.size() == 1);
+      CHECK(crashRecordName(Nodes.Reports[0].Crashes[0]) ==
+            crashRecordName(Record));
+      CHECK(Nodes.Reports[0].Crashes[0].Targets == Record.Targets);
+    }
+  }
   WHEN("the other one stops") {
     Nodes.Relay.stop();
     Nodes.runUntil([&] { return Nodes.Ends > 0; });
--- a/tests/path/NodeTest.cpp
+++ b/tests/path/NodeTest.cpp
@@ -408,6 +408,50 @@
     }
   }
 
+  // Guards against a crash that the other nodes never learn of (BUDGET).
+  GIVEN("a request that crashes targets while the store is silent") {
+    World.Store.setSilent(true);
+    int Sent = 0;
+    while (
+        Caller.ask(get("/fragile/x", "id-" + std::to_string(++Sent))).Status ==
+        502)
+      ;
+    // Longer than the timeout of a call.
+    ::usleep(2'000'000);
+    WHEN("the store is back") {
+      World.Store.setSilent(false);
+      THEN("the record is stored for the other nodes") {
+        const TimePoint GiveUp = steadyNow() + 10 * Second;
+        while (World.Store.count("balsamyard-crashes") == 0 &&
+               steadyNow() < GiveUp)
+          ::usleep(2000);
+        CHECK(World.Store.count("balsamyard-crashes") == 1);
+      }
+    }
+  }
+
+  // Guards against a refused request that comes back when its record is lost
+  // (BUDGET).
+  GIVEN("a refused request whose record was removed from the store") {
+    int Sent = 0;
+    while (
+        Caller.ask(get("/fragile/x", "id-" + std::to_string(++Sent))).Status ==
+        502)
+      ;
+    while (World.Store.count("balsamyard-crashes") == 0)
+      ::usleep(2000);
+    for (const std::string &Name : World.Store.names("balsamyard-crashes"))
+      World.Store.put("balsamyard-crashes", Name, nullptr);
+    THEN("it stays refused, and the record is written again") {
+      const TimePoint GiveUp = steadyNow() + 20 * Second;
+      while (World.Store.count("balsamyard-crashes") == 0 &&
+             steadyNow() < GiveUp)
+        ::usleep(2000);
+      CHECK(World.Store.count("balsamyard-crashes") == 1);
+      CHECK(World.caller().ask(get("/fragile/x")).Status == 503);
+    }
+  }
+
   GIVEN("a request that crashed targets at another node") {
     CrashRecord Record;
     Record.Print = fingerprintOf("GET", "a.example", "/sound/x", "");
