Keep operators' orders and ends of moves that a restored store lacks

After the store came back from a copy, an evacuation or a move that had been ordered since the copy ended at once, until operators had written it again (EVAC, EXPOSURE), and a move that had ended was under way again, so that a bad version got requests, or targets that had stopped.

An order that the first list of a new era lacks is taken for removed 5 s later, unless it comes back. The end of a move is final for its order: it holds, and is written again.

--- a/balsamyard/src/Process/FleetAgent.cpp
+++ b/balsamyard/src/Process/FleetAgent.cpp
@@ -130,6 +130,7 @@
 
 void FleetAgent::scanTargets() {
   this->Fleet.applyDepartures();
+  this->applyLostObjects();
   this->scheduleUpdate();
   if (this->Settings.Peers.Port != 0)
     this->exchangeReports();
@@ -274,10 +275,22 @@
   this->Fleet.markStoreReturned(steadyNow());
 }
 
+void FleetAgent::applyLostObjects() {
+  const TimePoint Now = steadyNow();
+  std::erase_if(this->LostOrders, [&](const auto &Item) {
+    if (Now < Item.second)
+      return false;
+    this->applyRemoval(Item.first.first, Item.first.second);
+    return true;
+  });
+}
+
 void FleetAgent::onUpdate(KindUpdate Update, const std::string &Source) {
   if (Update.AsOf.Era > this->Era)
     this->onStoreRestored(Update.AsOf.Era);
   const ObjectKind Kind = Update.Kind;
+  const std::optional<StoreRevision> Former = this->Objects.asOf(Kind);
+  const bool IsRestored = Former && Former->Era != Update.AsOf.Era;
   const std::size_t Received = Update.Changes.size();
   const bool Complete = Update.Complete;
   const StoreRevision AsOf = Update.AsOf;
@@ -294,8 +307,17 @@
               {"applied", static_cast<std::int64_t>(Changes.size())},
               {"as_of", static_cast<std::int64_t>(AsOf.Number)},
               {"era", static_cast<std::int64_t>(AsOf.Era)}});
-  for (const ObjectChange &Change : Changes)
+  for (const ObjectChange &Change : Changes) {
+    const std::pair Key(Kind, Change.Object.Name);
+    const bool IsOrder =
+        Kind == ObjectKind::Evacuations || Kind == ObjectKind::Moves;
+    if (IsRestored && IsOrder && Change.Removed) {
+      this->LostOrders[Key] = steadyNow() + RewriteTime;
+      continue;
+    }
+    this->LostOrders.erase(Key);
     this->apply(Kind, Change);
+  }
   if (const auto Known = this->Objects.asOf(ObjectKind::Targets))
     this->Fleet.setTargetsAsOf(*Known);
   if (Kind == ObjectKind::Nodes)
--- a/balsamyard/src/Process/FleetAgent.h
+++ b/balsamyard/src/Process/FleetAgent.h
@@ -28,6 +28,10 @@
   /// Batches changes that arrive together into one published view.
   static constexpr Duration PublishDelay = std::chrono::milliseconds(5);
 
+  /// After the store was restored from a copy, operators have written again
+  /// what the copy lacks within this time.
+  static constexpr Duration RewriteTime = std::chrono::seconds(5);
+
   FleetAgent(asio::io_context &Context, const NodeSettings &Settings,
              const PlatformAdapter &Adapter, RcuCell<FleetView> &View,
              std::function<void()> OnPublished);
@@ -76,6 +80,8 @@
   /// \brief Handles the news that the store was restored from a copy.
   void onStoreRestored(std::uint64_t NextEra);
 
+  /// \brief Applies the removals that were put off and are due.
+  void applyLostObjects();
   void onPeerState(const FeedSourceState &State);
   void onStoreConnection();
   void setPeers(std::vector<PeerNode> Nodes);
@@ -113,7 +119,10 @@
   StoreReader Reader;
   FeedSubscription Subscription;
   FeedRelay Relay;
-  std::uint64_t Era = 0;         ///< Of the store.
+  std::uint64_t Era = 0; ///< Of the store.
+
+  /// Orders that a restored store lacks, and when they are taken for removed.
+  std::map<std::pair<ObjectKind, std::string>, TimePoint> LostOrders;
   ReportQueues OwnReports;       ///< Of this node and its followers.
   ReportQueues ForwardedReports; ///< Of other readers of the failure domain.
   TimePoint ReportsScannedAt{};
--- a/balsamyard/src/Process/MoveAgent.cpp
+++ b/balsamyard/src/Process/MoveAgent.cpp
@@ -85,7 +85,7 @@
 void MoveAgent::tick() {
   bool UnderWay = false;
   for (auto &[Service, Move] : this->Moves) {
-    if (Move.Decisions.isEnded())
+    if (Move.Decisions.isEnded() && !Move.Decisions.hasUnstoredEnd())
       continue;
     UnderWay = true;
     this->advance(Service, Move);
--- a/balsamyard/src/Version/ServiceMove.cpp
+++ b/balsamyard/src/Version/ServiceMove.cpp
@@ -96,7 +96,10 @@
   this->Report = Event.Report && Event.Report->To == this->Order.To
                      ? Event.Report
                      : std::nullopt;
-  if (!this->Report)
+  // A store that was restored from a copy may have lost the end, after which
+  // the old targets have stopped or the new ones are known to be bad.
+  if (!this->Report || (IsSameOrder && this->isEnded() &&
+                        this->Report->Status == MoveStatus::UnderWay))
     return;
   if (!IsSameOrder) {
     // The order is older than this process, so the time left follows from the
@@ -169,8 +172,7 @@
   return std::nullopt;
 }
 
-std::optional<MoveReport> ServiceMove::dueReport(const MoveTimePassed &Event,
-                                                 const MoveClock &At) const {
+MoveReport ServiceMove::nextReport(const MoveClock &At) const {
   MoveReport Next;
   Next.To = this->Order.To;
   Next.Step = this->Step;
@@ -179,6 +181,17 @@
           ? this->Report->Due
           : At.Wall + std::chrono::duration_cast<std::chrono::milliseconds>(
                           this->Order.Within);
+  return Next;
+}
+
+std::optional<MoveReport> ServiceMove::dueReport(const MoveTimePassed &Event,
+                                                 const MoveClock &At) const {
+  MoveReport Next = this->nextReport(At);
+  if (this->hasUnstoredEnd()) {
+    Next.Status = this->Status;
+    Next.Reason = this->Reason.value_or("");
+    return Next;
+  }
   if (this->Reason) {
     Next.Status = MoveStatus::RolledBack;
     Next.Reason = *this->Reason;
@@ -210,9 +223,10 @@
 
 void ServiceMove::on(const MoveTimePassed &Event, const MoveClock &At,
                      Effects &Out) {
-  if (this->Judges.empty() || this->Status != MoveStatus::UnderWay)
+  if (this->Judges.empty() || (this->isEnded() && !this->hasUnstoredEnd()))
     return;
-  this->judge(At.Now);
+  if (!this->isEnded())
+    this->judge(At.Now);
   const std::optional<MoveReport> Due = this->dueReport(Event, At);
   if (!Due) {
     this->ReportDueSince.reset();
--- a/balsamyard/src/Version/ServiceMove.h
+++ b/balsamyard/src/Version/ServiceMove.h
@@ -134,8 +134,15 @@
   bool isUnderWay() const {
     return this->Status == MoveStatus::UnderWay && !this->Reason;
   }
-  /// \brief Whether the stored status is Done or RolledBack.
+  /// \brief Whether the stored status is Done or RolledBack, or has been: the
+  /// end of a move is final, also if the store loses it.
   bool isEnded() const { return this->Status != MoveStatus::UnderWay; }
+  /// \brief Whether the end of the move is not in the store any more, so that
+  /// it has to be written again.
+  bool hasUnstoredEnd() const {
+    return this->isEnded() &&
+           (!this->Report || this->Report->Status != this->Status);
+  }
   bool isRolledBack() const { return this->Status == MoveStatus::RolledBack; }
 
   MoveStep step() const { return this->Step; }
@@ -151,6 +158,7 @@
 
   void begin(const MoveOrderUpdated &Event, const MoveClock &At);
   void judge(TimePoint Now);
+  MoveReport nextReport(const MoveClock &At) const;
   bool isBlockedByEvidence() const;
   std::optional<MoveReport> dueReport(const MoveTimePassed &Event,
                                       const MoveClock &At) const;
--- a/tests/path/ServiceMoveTest.cpp
+++ b/tests/path/ServiceMoveTest.cpp
@@ -301,6 +301,44 @@
   }
 }
 
+// Guards against requests to a version that was rolled back (EXPOSURE), or to
+// targets that have stopped, after the store has lost the end of the move.
+SCENARIO("a restored store lacks the end of a move", "[move]") {
+  struct Kind {
+    const char *Name;
+    bool HasNewTargets;
+    MoveStatus End;
+  };
+  for (const Kind &Case : {Kind{"done", true, MoveStatus::Done},
+                           Kind{"rolled back", false, MoveStatus::RolledBack}})
+    GIVEN("a move that was " + std::string(Case.Name)) {
+      MovingFleet Fleet(3, 12 * Second);
+      Fleet.HasNewTargets = Case.HasNewTargets;
+      Fleet.run(12 * Second, good);
+      REQUIRE(Fleet.Order.Report->Status == Case.End);
+      const double Share = Fleet.Members.front().Move.share();
+      WHEN("the store comes back with an earlier report, or with none") {
+        const bool HasReport = GENERATE(true, false);
+        Fleet.Order.Revision = StoreRevision{5, 1};
+        Fleet.Order.Report->Status = MoveStatus::UnderWay;
+        Fleet.Order.Report->Step = MoveStep::Trial;
+        if (!HasReport)
+          Fleet.Order.Report.reset();
+        for (MovingFleet::Member &Node : Fleet.Members)
+          Node.Move.handle(Fleet.Order, Fleet.Clock);
+        THEN("all nodes stay at the end, which is written again") {
+          for (const MovingFleet::Member &Node : Fleet.Members)
+            CHECK(Node.Move.share() == Share);
+          Fleet.run(2 * Second, good);
+          REQUIRE(Fleet.Order.Report);
+          CHECK(Fleet.Order.Report->Status == Case.End);
+          for (const MovingFleet::Member &Node : Fleet.Members)
+            CHECK_FALSE(Node.Move.hasUnstoredEnd());
+        }
+      }
+    }
+}
+
 SCENARIO("requests are assigned to a new version by its share", "[move]") {
   MoveTraffic Traffic(VersionName{"v2"}, 0.5);
   GIVEN("a share of 0.04") {
