Do not use targets at once that a restored store has brought back

A target that had left was in use again after the store came back from a copy in which its entry was still there (DRAIN), until the store removed the entry for lack of heartbeats.

An entry in the first list of a new era whose removal was known before is put off for three heartbeats (heartbeatMs of the settings) and a second; a change or another removal decides at once. Tests: 'a restored store brings the entry back' in DepartureTest.

--- a/balsamyard/src/Process/Discovery.cpp
+++ b/balsamyard/src/Process/Discovery.cpp
@@ -21,6 +21,11 @@
 /// it returns. One that is still missing then belongs to a target that left.
 constexpr Duration EntryReturnTime = std::chrono::milliseconds(2200);
 
+/// The store removes the entry of a target after this many missed heartbeats, a
+/// little late.
+constexpr int MissedHeartbeats = 3;
+constexpr Duration SilenceMargin = std::chrono::seconds(1);
+
 /// Fraction of a target's connection limit that all nodes together use. The
 /// rest is reserved for nodes that have started but are not counted yet.
 constexpr double ConnectionLimitFraction = 0.94;
@@ -160,6 +165,7 @@
 void Discovery::announce(const TargetAnnouncement &Announcement,
                          TimePoint Now) {
   const TargetInfo Info = this->localInfo(Announcement);
+  this->UnconfirmedTargets.erase(Info.Id);
   Entry &Target = this->Targets[Info.Id];
   const bool IsNew = !Target.State || !(Target.State->Info == Info);
   if (IsNew) {
@@ -196,6 +202,39 @@
   this->updateAdminState(Target);
 }
 
+bool Discovery::wasWithdrawn(const TargetInfo &Info) const {
+  if (const auto Found = this->Targets.find(Info.Id);
+      Found != this->Targets.end())
+    return Found->second.ExpiresAt &&
+           Found->second.State->Info.isSameIncarnation(Info);
+  const auto Former = this->FormerTargets.find(Info.Id);
+  return Former != this->FormerTargets.end() &&
+         Former->second.State->Info.isSameIncarnation(Info);
+}
+
+void Discovery::announceRestored(const TargetAnnouncement &Announcement,
+                                 TimePoint Now) {
+  if (!this->wasWithdrawn(Announcement.Info)) {
+    this->announce(Announcement, Now);
+    return;
+  }
+  logEvent(LogLevel::Info, "target-unconfirmed",
+           {{"target", Announcement.Info.Id.Text}});
+  const Duration SilenceLimit =
+      MissedHeartbeats * this->Settings.Bounds.TargetHeartbeat + SilenceMargin;
+  this->UnconfirmedTargets[Announcement.Info.Id] = {Announcement,
+                                                    Now + SilenceLimit};
+}
+
+void Discovery::applyUnconfirmed(TimePoint Now) {
+  std::vector<TargetAnnouncement> Due;
+  for (const auto &[Id, Target] : this->UnconfirmedTargets)
+    if (Target.AppliesAt <= Now)
+      Due.push_back(Target.Announcement);
+  for (const TargetAnnouncement &Announcement : Due)
+    this->announce(Announcement, Now);
+}
+
 void Discovery::updateAdminState(Entry &Target) {
   const AdminState Former = Target.State->adminState();
   AdminState Next = AdminState::Serving;
@@ -216,6 +255,7 @@
 }
 
 void Discovery::withdraw(const TargetId &Id, TimePoint Now) {
+  this->UnconfirmedTargets.erase(Id);
   const auto Found = this->Targets.find(Id);
   if (Found == this->Targets.end() || Found->second.ExpiresAt)
     return;
@@ -326,11 +366,14 @@
   for (const auto &[Id, Target] : this->Targets)
     if (Target.ExpiresAt && (!Next || *Target.ExpiresAt < *Next))
       Next = Target.ExpiresAt;
+  for (const auto &[Id, Target] : this->UnconfirmedTargets)
+    Next = std::min(Next.value_or(Target.AppliesAt), Target.AppliesAt);
   return Next;
 }
 
 void Discovery::update(TimePoint Now) {
   this->expireTargets(Now);
+  this->applyUnconfirmed(Now);
   this->updateConfiguration(Now);
 }
 
--- a/balsamyard/src/Process/Discovery.h
+++ b/balsamyard/src/Process/Discovery.h
@@ -33,6 +33,11 @@
   /// \brief Adds a target or applies its changed announcement.
   void announce(const TargetAnnouncement &Announcement, TimePoint Now);
 
+  /// \brief Applies an announcement that a restored store has brought back. If
+  /// the target was gone before, it may be from the time before that: it is put
+  /// off until the store would have removed the entry of a target that is gone.
+  void announceRestored(const TargetAnnouncement &Announcement, TimePoint Now);
+
   /// \returns whether \p Announcement says nothing new. The entry of a cold
   /// target changes with each of its heartbeats, as its warm-up goes on.
   bool isCurrent(const TargetAnnouncement &Announcement, TimePoint Now) const;
@@ -136,6 +141,12 @@
     TimePoint GoneAt{};
   };
 
+  /// \brief An announcement that is put off. \sa announceRestored
+  struct UnconfirmedTarget {
+    TargetAnnouncement Announcement;
+    TimePoint AppliesAt{};
+  };
+
   TargetInfo localInfo(const TargetAnnouncement &Announcement) const;
   Ref<KnownTarget> stateOf(const TargetInfo &Info) const;
   void updateAdminState(Entry &Target);
@@ -147,13 +158,16 @@
   void choosePreferred(const ServiceSpec &Spec,
                        std::vector<Ref<KnownTarget>> &Targets) const;
 
+  bool wasWithdrawn(const TargetInfo &Info) const;
   void expireTargets(TimePoint Now);
+  void applyUnconfirmed(TimePoint Now);
   void updateConfiguration(TimePoint Now);
 
   NodeSettings Settings;
   ConfigurationGate Gate;
   std::map<TargetId, Entry> Targets;
   std::map<TargetId, FormerTarget> FormerTargets;
+  std::map<TargetId, UnconfirmedTarget> UnconfirmedTargets;
   std::set<DomainName> Evacuated;
   std::map<ServiceName, Ref<RetryBudget>> Budgets;
   std::map<RouteName, Ref<RouteStats>> Stats;
--- a/balsamyard/src/Process/FleetAgent.cpp
+++ b/balsamyard/src/Process/FleetAgent.cpp
@@ -316,7 +316,7 @@
       continue;
     }
     this->LostOrders.erase(Key);
-    this->apply(Kind, Change);
+    this->apply(Kind, Change, IsRestored);
   }
   if (const auto Known = this->Objects.asOf(ObjectKind::Targets))
     this->Fleet.setTargetsAsOf(*Known);
@@ -334,7 +334,8 @@
       [this](ObjectKind Kind) { return this->Objects.asOf(Kind).has_value(); });
 }
 
-void FleetAgent::apply(ObjectKind Kind, const ObjectChange &Change) {
+void FleetAgent::apply(ObjectKind Kind, const ObjectChange &Change,
+                       bool IsRestored) {
   if (Change.Removed) {
     this->applyRemoval(Kind, Change.Object.Name);
     return;
@@ -344,7 +345,7 @@
     this->applyConfiguration(Change.Object);
     return;
   case ObjectKind::Targets:
-    this->applyTarget(Change.Object);
+    this->applyTarget(Change.Object, IsRestored);
     return;
   case ObjectKind::Evacuations:
     this->Fleet.evacuate(DomainName{Change.Object.Name});
@@ -391,7 +392,7 @@
   this->Fleet.configure(std::move(*Read), steadyNow());
 }
 
-void FleetAgent::applyTarget(const StoredObject &Object) {
+void FleetAgent::applyTarget(const StoredObject &Object, bool IsRestored) {
   const Expected<TargetAnnouncement> Read = this->Adapter.ReadTarget(Object);
   if (!Read) {
     logEvent(LogLevel::Warning, "target-entry-unreadable",
@@ -402,7 +403,10 @@
     this->Fleet.withdraw(TargetId{Object.Name}, steadyNow());
     return;
   }
-  this->Fleet.announce(*Read, steadyNow());
+  if (IsRestored)
+    this->Fleet.announceRestored(*Read, steadyNow());
+  else
+    this->Fleet.announce(*Read, steadyNow());
 }
 
 void FleetAgent::applyMove(const StoredObject &Object) {
--- a/balsamyard/src/Process/FleetAgent.h
+++ b/balsamyard/src/Process/FleetAgent.h
@@ -99,10 +99,12 @@
   void on(const LeavePeer &Effect);
   void on(const WakeFeedSource &Effect);
 
-  void apply(ObjectKind Kind, const ObjectChange &Change);
+  /// \brief Applies a change. \p IsRestored: it shows how a restored store
+  /// differs from what was known.
+  void apply(ObjectKind Kind, const ObjectChange &Change, bool IsRestored);
   void applyRemoval(ObjectKind Kind, const std::string &Name);
   void applyConfiguration(const StoredObject &Object);
-  void applyTarget(const StoredObject &Object);
+  void applyTarget(const StoredObject &Object, bool IsRestored);
   void applyMove(const StoredObject &Object);
   bool knowsAllKinds() const;
   std::uint32_t rank() const;
--- a/balsamyard/src/Process/NodeSettings.h
+++ b/balsamyard/src/Process/NodeSettings.h
@@ -28,6 +28,9 @@
   /// How long a target keeps serving after it announces that it leaves.
   Duration DrainTime = std::chrono::seconds(3);
 
+  /// How often a target writes its entry in the store.
+  Duration TargetHeartbeat = std::chrono::milliseconds(1200);
+
   /// Time within which an accepted configuration has to be in force.
   Duration ConfigurationTime = std::chrono::seconds(3);
 
--- a/tests/path/DepartureTest.cpp
+++ b/tests/path/DepartureTest.cpp
@@ -129,6 +129,26 @@
         CHECK(World.serving()->requestLimit() == 3.0);
       }
     }
+    WHEN("a restored store brings the entry back") {
+      World.Fleet.announceRestored(announcement(false), World.Now);
+      THEN("it may be from before its removal: it is used once the store would "
+           "have removed it again") {
+        CHECK_FALSE(World.serving());
+        REQUIRE(World.Fleet.nextUpdate(World.Now));
+        World.Now = *World.Fleet.nextUpdate(World.Now);
+        World.Fleet.update(World.Now);
+        CHECK(World.serving());
+      }
+      THEN("it is used at once if it changes") {
+        World.announce(announcement(false));
+        CHECK(World.serving());
+      }
+      THEN("it is not used if it is removed again") {
+        World.remove();
+        World.Fleet.update(World.Now + 60 * Second);
+        CHECK_FALSE(World.serving());
+      }
+    }
     WHEN("it does not come back") {
       World.Now += Discovery::FormerTargetLifetime;
       World.Fleet.update(World.Now);
