Write entries of nodes and crash records again after a restore

What nodes had written since the copy was gone: a node that had joined was not counted for up to a minute, so that limits were divided among too few, and a request that crashes targets could run again.

When a node notices a new era, it writes its entry again (spread over 2 s) and its crash records; a failed renewal of the entry is repeated after 5 s. Records of other nodes are kept while these write them again. Tests: 'a restored store lacks an evacuation and the entry of a node' (0 entries with the header unread), CrashRecordsTest.

--- a/balsamyard/src/Process/CrashAgent.cpp
+++ b/balsamyard/src/Process/CrashAgent.cpp
@@ -74,6 +74,8 @@
     this->maintain();
 }
 
+void CrashAgent::onStoreRestored() { this->apply(CrashStoreRestored{}); }
+
 void CrashAgent::readPage(const std::string &After) {
   if (After.empty()) {
     if (std::exchange(this->Reading, true))
--- a/balsamyard/src/Process/CrashAgent.h
+++ b/balsamyard/src/Process/CrashAgent.h
@@ -45,6 +45,10 @@
   /// \brief Reads the records now, because the store can be read again.
   void refresh();
 
+  /// \brief Writes the records of this process again: the store was restored
+  /// from a copy, which may lack them.
+  void onStoreRestored();
+
   /// \brief Applies a record that another node has told of.
   void hear(const CrashRecord &Record);
 
--- a/balsamyard/src/Process/CrashRecords.cpp
+++ b/balsamyard/src/Process/CrashRecords.cpp
@@ -161,6 +161,15 @@
     this->write(Item, Now, Out);
 }
 
+void CrashRecords::on(const CrashStoreRestored &, TimePoint Now, Effects &Out) {
+  for (auto &[Name, Item] : this->Records) {
+    // The other nodes write their records again meanwhile.
+    Item.ChangedAt = Now;
+    if (this->isOwn(Item))
+      this->write(Item, Now, Out);
+  }
+}
+
 void CrashRecords::on(const RequestCrashedTargets &Event, TimePoint Now,
                       Effects &Out) {
   CrashRecord Initial;
--- a/balsamyard/src/Process/CrashRecords.h
+++ b/balsamyard/src/Process/CrashRecords.h
@@ -48,10 +48,13 @@
   std::uint32_t Rank = 0; ///< Index of this node in the sorted node names.
 };
 
+/// \brief The store was restored from a copy, which may lack records.
+struct CrashStoreRestored {};
+
 using CrashRecordEvent =
     std::variant<CrashRecordsListed, CrashRecordHeard, CrashRecordWritten,
-                 RequestCrashedTargets, SuspectedRequestSucceeded,
-                 CrashTimePassed>;
+                 CrashStoreRestored, RequestCrashedTargets,
+                 SuspectedRequestSucceeded, CrashTimePassed>;
 
 /// \brief Creates or replaces the stored object of the record.
 struct WriteCrashRecord {
@@ -140,6 +143,7 @@
   void on(const CrashRecordsListed &Event, TimePoint Now, Effects &Out);
   void on(const CrashRecordHeard &Event, TimePoint Now, Effects &Out);
   void on(const CrashRecordWritten &Event, TimePoint Now, Effects &Out);
+  void on(const CrashStoreRestored &Event, TimePoint Now, Effects &Out);
   void on(const RequestCrashedTargets &Event, TimePoint Now, Effects &Out);
   void on(const SuspectedRequestSucceeded &Event, TimePoint Now, Effects &Out);
   void on(const CrashTimePassed &Event, TimePoint Now, Effects &Out);
--- a/balsamyard/src/Process/FleetAgent.cpp
+++ b/balsamyard/src/Process/FleetAgent.cpp
@@ -273,6 +273,8 @@
            {{"era", static_cast<std::int64_t>(NextEra)}});
   // Targets write again what the copy lacks, as after an outage.
   this->Fleet.markStoreReturned(steadyNow());
+  this->Registry.onStoreRestored();
+  this->Crashes.onStoreRestored();
 }
 
 void FleetAgent::applyLostObjects() {
--- a/balsamyard/src/Process/NodeRegistry.cpp
+++ b/balsamyard/src/Process/NodeRegistry.cpp
@@ -85,7 +85,8 @@
     : Self(peerNode(Settings)), FirstStart(Settings.FirstStart),
       EntryName(nodeEntryName(this->Self)), Adapter(Adapter), Fleet(Fleet),
       Events(std::move(Events)), Entries(Settings.Node),
-      Calls(Context, Settings.Store), Timer(Context),
+      Calls(Context, Settings.Store), Timer(Context), RenewTimer(Context),
+      Random(std::random_device()()),
       // A restarted process must not repeat a heartbeat of the former process.
       Heartbeat(std::uint64_t(std::random_device()()) << 20) {}
 
@@ -174,14 +175,43 @@
                                              this->content()),
                    [this](const Expected<HttpResponse> &Result) {
                      if (Result &&
-                         Result->Status == StoreChannel::NotFoundStatus)
-                       this->registerNode();
-                     else if (!hasSuccessStatus(Result))
-                       logEvent(LogLevel::Warning, "node-not-renewed",
-                                {{"detail", describeResult(Result)}});
+                         Result->Status == StoreChannel::NotFoundStatus) {
+                       this->createEntryAgain();
+                       return;
+                     }
+                     if (hasSuccessStatus(Result))
+                       return;
+                     logEvent(LogLevel::Warning, "node-not-renewed",
+                              {{"detail", describeResult(Result)}});
+                     this->renewAfter(RenewRetryPause);
                    });
 }
 
+void NodeRegistry::createEntryAgain() {
+  this->Calls.call(this->Adapter.CreateCall(ObjectKind::Nodes, this->EntryName,
+                                            this->content()),
+                   [this](const Expected<HttpResponse> &Result) {
+                     if (hasSuccessStatus(Result))
+                       return;
+                     logEvent(LogLevel::Warning, "node-not-registered",
+                              {{"detail", describeResult(Result)}});
+                     this->renewAfter(RenewRetryPause);
+                   });
+}
+
+void NodeRegistry::renewAfter(Duration Time) {
+  this->RenewTimer.expires_after(Time);
+  this->RenewTimer.async_wait([this](const asio::error_code &Cancelled) {
+    if (!Cancelled)
+      this->renewEntry();
+  });
+}
+
+void NodeRegistry::onStoreRestored() {
+  this->renewAfter(Duration(
+      this->Random.below(static_cast<std::uint32_t>(RestoreSpread.count()))));
+}
+
 void NodeRegistry::readPage(const std::string &After) {
   if (After.empty())
     this->Listing = {ObjectKind::Nodes, true, {}, {}};
--- a/balsamyard/src/Process/NodeRegistry.h
+++ b/balsamyard/src/Process/NodeRegistry.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "balsamyard/src/Connection/StoreCallQueue.h"
+#include "balsamyard/src/Core/RandomGenerator.h"
 #include "balsamyard/src/Process/Discovery.h"
 #include "balsamyard/src/Process/FeedSource.h"
 #include "balsamyard/src/Process/NodeEntries.h"
@@ -27,6 +28,13 @@
   /// How often the heartbeat in the entry of this node changes.
   static constexpr Duration RenewInterval = std::chrono::seconds(60);
 
+  /// Pause before the entry is written again after a failed call.
+  static constexpr Duration RenewRetryPause = std::chrono::seconds(5);
+
+  /// After the store was restored, all nodes write their entries again, spread
+  /// over this time.
+  static constexpr Duration RestoreSpread = std::chrono::seconds(2);
+
   struct Handlers {
     /// All entries were read from the store.
     std::function<void(KindUpdate)> OnListed;
@@ -49,6 +57,10 @@
   /// \brief Applies reloaded settings.
   void reload(const NodeSettings &Settings);
 
+  /// \brief Writes the entry of this node again: the store was restored from a
+  /// copy, which may lack it.
+  void onStoreRestored();
+
   /// \brief Applies the complete list of entries.
   void setEntries(const std::vector<StoredObject> &Listed);
 
@@ -56,6 +68,8 @@
   nlohmann::json content() const;
   void registerNode();
   void renewEntry();
+  void createEntryAgain();
+  void renewAfter(Duration Time);
   void findReaders();
   void maintain();
   void readPage(const std::string &After);
@@ -71,6 +85,8 @@
   NodeEntries Entries;
   StoreCallQueue Calls;
   asio::steady_timer Timer;
+  asio::steady_timer RenewTimer;
+  RandomGenerator Random;
   std::uint64_t Heartbeat;
   TimePoint RenewedAt{};
   KindUpdate Listing;     ///< The pages read so far.
--- a/tests/path/CrashRecordsTest.cpp
+++ b/tests/path/CrashRecordsTest.cpp
@@ -171,6 +171,19 @@
     }
   }
 
+  GIVEN("a store that was restored from a copy without a record") {
+    World.crash(0, {"a", "b"});
+    World.Stored.clear();
+    World.Now += CrashRecords::StaleTime;
+    for (std::size_t Node = 0; Node < 3; ++Node)
+      World.handle(Node, CrashStoreRestored{});
+    World.readAll();
+    THEN("its node writes it again, and the others keep it") {
+      CHECK(World.Stored.size() == 1);
+      CHECK(World.status(2) == CrashStatus::Suspected);
+    }
+  }
+
   GIVEN("a node that has told of a crash") {
     CrashRecord Record;
     Record.Print = Print;
--- a/tests/path/NodeTest.cpp
+++ b/tests/path/NodeTest.cpp
@@ -591,3 +591,46 @@
     }
   }
 }
+
+// Guards against requests to an evacuated failure domain (EVAC), and against
+// nodes that are not counted, after the store has lost what was written last.
+SCENARIO("a restored store lacks an evacuation and the entry of a node",
+         "[node][restore]") {
+  PlatformWorld World;
+  World.addRoute("/records/", {{"service", "records"}});
+  FakeTarget &Target = World.add("records", "i-1", "stored", WellBehaved{});
+  World.Store.copy();
+  World.start();
+  FakeCaller Caller = World.caller();
+  REQUIRE(Caller.ask(get("/records/x")).Status == 200);
+  World.Store.put("evacuations", "east", json::object());
+  while (Caller.ask(get("/records/x")).Status == 200)
+    ::usleep(2000);
+  const std::size_t Former = Target.requests().size();
+  REQUIRE(World.Store.count("balsamyard-nodes") == 1);
+
+  GIVEN("a restored store") {
+    World.Store.restore();
+    REQUIRE(World.Store.count("balsamyard-nodes") == 0);
+    WHEN("the evacuation is written again") {
+      ::usleep(1'500'000);
+      World.Store.put("evacuations", "east", json::object());
+      ::usleep(4'500'000);
+      THEN("the failure domain got nothing meanwhile, and gets nothing now") {
+        CHECK(Caller.ask(get("/records/x")).Status == 503);
+        CHECK(Target.requests().size() == Former);
+        CHECK(World.Store.count("balsamyard-nodes") == 1);
+      }
+    }
+    WHEN("the evacuation is not written again") {
+      THEN("it ends, some seconds later") {
+        const TimePoint Restored = steadyNow();
+        while (Caller.ask(get("/records/x")).Status != 200 &&
+               steadyNow() < Restored + 20 * Second)
+          ::usleep(20'000);
+        CHECK(Caller.ask(get("/records/x")).Status == 200);
+        CHECK(steadyNow() - Restored >= 4 * Second);
+      }
+    }
+  }
+}
