--- a/tests/path/PlatformTest.cpp
+++ b/tests/path/PlatformTest.cpp
@@ -1,4 +1,5 @@
 #include "platform/Platform.h"
+#include "balsamyard/src/Process/ObjectCache.h"
 
 #include <catch2/catch.hpp>
 #include <cstdio>
@@ -9,6 +10,7 @@
 #include <unistd.h>
 
 using namespace balsamyard;
+using nlohmann::json;
 
 namespace {
 
@@ -349,3 +351,88 @@
       }
     }
 }
+
+// Guards against readers that end, or stop following the list of targets,
+// because of one odd entry (LOST).
+SCENARIO("an entry holds a number that is out of range", "[platform]") {
+  const json Valid = {{"service", "records"},
+                      {"address", "10.1.0.9:7001"},
+                      {"zone", "east"},
+                      {"version", "v1"},
+                      {"state", "ready"},
+                      {"warmupLeftMs", 0},
+                      {"slots", 3},
+                      {"sequence", 1},
+                      {"born", 1}};
+  const auto Entry = [&Valid](const char *Field, const std::string &Value) {
+    json Changed = Valid;
+    Changed[Field] = "@";
+    std::string Text = Changed.dump();
+    return Text.replace(Text.find("\"@\""), 3, Value);
+  };
+  /// Returns the entry after it was read in a list and passed between nodes.
+  const auto Read = [&Valid](const std::string &Text) {
+    const FeedInput Input = platform::readPage(response(
+        200, R"({"items":[{"meta":{"name":"odd","revision":3},"spec":)" + Text +
+                 R"(},{"meta":{"name":"valid","revision":4},"spec":)" +
+                 Valid.dump() + R"(}],"asOf":9})"));
+    const auto *Page = std::get_if<FeedPage>(&Input);
+    REQUIRE(Page != nullptr);
+    REQUIRE(Page->Objects.size() == 2);
+    CHECK(platform::readTarget(Page->Objects[1]));
+    StoredObject Passed;
+    REQUIRE(decodeObject(encodeObject(Page->Objects[0]), Passed));
+    Passed.Name = "odd";
+    return platform::readTarget(Passed);
+  };
+  REQUIRE(Read(Valid.dump()));
+  GIVEN("a number that is too large for any type") {
+    for (const char *Field : {"slots", "warmupLeftMs", "sequence", "born"})
+      for (const char *Value : {"1e400", "-1e999", "123456789012345678901e300"})
+        CHECK_FALSE(Read(Entry(Field, Value)));
+  }
+  GIVEN("a number that is too large for its field") {
+    CHECK_FALSE(Read(Entry("slots", "4294967296")));
+    CHECK_FALSE(Read(Entry("slots", "18446744073709551615")));
+    CHECK_FALSE(Read(Entry("warmupLeftMs", "1e300")));
+    CHECK_FALSE(Read(Entry("warmupLeftMs", "-1")));
+    CHECK_FALSE(Read(Entry("born", "18446744073709551615")));
+  }
+  GIVEN("an address that cannot be connected to") {
+    for (const char *Address :
+         {"10.1.0.9:65536", "10.1.0.9:0", "10.1.0.9:-1",
+          "10.1.0.9:", "10.1.0.9:99999999999999999999", "10.1.0.999:80",
+          "records:80", ":80", "[::1]:80", "10.1.0.9:80 "})
+      CHECK_FALSE(Read(Entry("address", json(Address).dump())));
+  }
+  GIVEN("texts that look like such numbers") {
+    json Named = Valid;
+    Named["version"] = "v\"1e400";
+    Named["service"] = "\\\"1e999\\";
+    const auto Text = Read(Named.dump());
+    REQUIRE(Text);
+    CHECK(Text->Info.Version.Text == "v\"1e400");
+    // Also in a list that has to be repaired.
+    Named["extra"] = "@";
+    std::string Broken = Named.dump();
+    Broken.replace(Broken.find("\"@\""), 3, "1e400");
+    const auto Repaired = Read(Broken);
+    REQUIRE(Repaired);
+    CHECK(Repaired->Info.Version.Text == "v\"1e400");
+    CHECK(Repaired->Info.Service.Text == "\\\"1e999\\");
+  }
+}
+
+SCENARIO("a number out of range in another document", "[platform]") {
+  GIVEN("an order to move a service") {
+    StoredObject Order;
+    Order.Content = {
+        {"service", "records"}, {"targetVersion", "v2"}, {"durationS", 1e300}};
+    THEN("its duration stays within bounds") {
+      const auto Read = platform::readMove(Order);
+      REQUIRE(Read);
+      CHECK(Read->Order.Within > Duration::zero());
+      CHECK(Read->Order.Within <= std::chrono::hours(24 * 366));
+    }
+  }
+}
