Test answers that end within their head or body

Reported from similar systems: a target stopped in the middle of the head of its answer and closed, and callers got a 200 with an empty or short body (MIXED). It does not happen here: the tests end an answer after each byte, for each framing, at the parser and through a node, and passed without a change.

--- a/tests/path/FakeFleet.h
+++ b/tests/path/FakeFleet.h
@@ -85,6 +85,9 @@
 struct Failing {};
 /// \brief Closes the connection without an answer, as after a crash.
 struct Crashing {};
+/// \brief Sends one byte of its answer to the first request, two to the second,
+/// and so on, and closes the connection.
+struct Truncating {};
 /// \brief Answers, and says in each answer that it leaves.
 struct Leaving {};
 /// \brief Rejects the request and asks for a pause of this many seconds.
@@ -92,9 +95,9 @@
   std::string Seconds;
 };
 
-using Behaviour =
-    std::variant<WellBehaved, Silent, Late, DuplicateAnswer, MismatchedId,
-                 Refusing, Replaced, Failing, Crashing, Leaving, Pausing>;
+using Behaviour = std::variant<WellBehaved, Silent, Late, DuplicateAnswer,
+                               MismatchedId, Refusing, Replaced, Failing,
+                               Crashing, Truncating, Leaving, Pausing>;
 
 /// \brief A target that speaks the platform's protocol.
 class FakeTarget {
@@ -178,6 +181,11 @@
                            true);
             },
             [&](const Crashing &) { Held->close(); },
+            [&](const Truncating &) {
+              Held->answer(this->successResponse(RequestId).substr(
+                               0, this->requests().size()),
+                           false);
+            },
             [&](const Leaving &) {
               Held->answer(
                   this->successResponse(RequestId, "Server-Leaving: 1\r\n"),
--- a/tests/path/HttpParserTest.cpp
+++ b/tests/path/HttpParserTest.cpp
@@ -33,6 +33,34 @@
 
 } // namespace
 
+// Guards against a response that ends within its head or body and is taken for
+// a complete one (MIXED).
+SCENARIO("a response ends early", "[http]") {
+  for (const char *Framing :
+       {"Content-Length: 4\r\n\r\nbody", "Content-Length: 0\r\n\r\n",
+        "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"})
+    GIVEN("the beginning of a response with " + std::string(Framing)) {
+      const std::string Whole =
+          std::string("HTTP/1.1 200 OK\r\nX-Stamp: a, b\r\n") + Framing;
+      for (std::size_t Length = 0; Length < Whole.size(); ++Length) {
+        ResponseParser Reader;
+        Reader.begin(true);
+        CHECK_FALSE(std::holds_alternative<HttpComplete>(
+            feed(Reader, Whole.substr(0, Length), 1000)));
+        CHECK_FALSE(std::holds_alternative<HttpComplete>(Reader.end()));
+      }
+    }
+  GIVEN("the beginning of the head of a response without a length") {
+    const std::string Head = "HTTP/1.1 200 OK\r\nX-Stamp: a\r\n\r\n";
+    for (std::size_t Length = 0; Length < Head.size(); ++Length) {
+      ResponseParser Reader;
+      Reader.begin(true);
+      feed(Reader, Head.substr(0, Length), 1000);
+      CHECK_FALSE(std::holds_alternative<HttpComplete>(Reader.end()));
+    }
+  }
+}
+
 SCENARIO("requests are read from a stream of bytes", "[http]") {
   for (std::size_t Piece : {1U, 7U, 1000U}) {
     GIVEN("bytes that arrive in pieces of " + std::to_string(Piece)) {
--- a/tests/path/NodeTest.cpp
+++ b/tests/path/NodeTest.cpp
@@ -634,3 +634,27 @@
     }
   }
 }
+
+// Guards against an answer that a target has broken off, and that a caller gets
+// as a complete one (MIXED).
+SCENARIO("a target closes within the head or the body of its answer",
+         "[node]") {
+  PlatformWorld World;
+  World.addRoute("/records/",
+                 {{"service", "records"}, {"type", "non_idempotent"}});
+  FakeTarget &Target = World.add("records", "i-1", "stored", Truncating{});
+  World.start();
+  FakeCaller Caller = World.caller();
+  GIVEN("requests whose answers end after each byte") {
+    HttpResponse Answer;
+    int Sent = 0;
+    do
+      Answer = Caller.ask(get("/records/x", "id-" + std::to_string(++Sent)));
+    while (Answer.Status == 502 || Answer.Status == 503);
+    THEN("only the whole one is passed on") {
+      CHECK(Answer.Status == 200);
+      CHECK(Answer.Body == "stored");
+      CHECK(Target.requests().size() > 100);
+    }
+  }
+}
