Give all requests a final answer before a planned stop ends

Reported from similar systems: in a planned stop of one node, requests that came late in the grace time were taken and passed on, and cut without an answer at its end (LOST). It can happen here: a request of which a part had arrived when idle connections were closed was taken at any time until the end, and so was one on a connection whose last answer was still being written then; requests that were still running at the end were cut.

Half a second before the process would be killed, running requests end with what is there, or 504, or 503 if nothing was sent; 0.2 s later the process ends.

--- a/balsamyard/src/Connection/ServerConnection.cpp
+++ b/balsamyard/src/Connection/ServerConnection.cpp
@@ -122,7 +122,11 @@
                         Self->close();
                         return;
                       }
-                      if (!Self->KeepAfterWrite) {
+                      // The answer may have been written before the process
+                      // began to stop.
+                      const bool Closes =
+                          Self->CloseWhenIdle && Self->Unparsed.empty();
+                      if (!Self->KeepAfterWrite || Closes) {
                         Self->linger();
                         return;
                       }
@@ -178,6 +182,7 @@
 }
 
 void ServerConnection::closeIfIdle() {
+  this->CloseWhenIdle = true;
   if (this->CurrentState == State::Reading && !this->Parser.started() &&
       this->Unparsed.empty())
     this->linger();
@@ -244,6 +249,13 @@
     Connection.beginStop();
 }
 
+std::vector<Ref<ServerConnection>> Listener::open() {
+  std::vector<Ref<ServerConnection>> Result;
+  for (ServerConnection &Connection : this->Connections)
+    Result.emplace_back(&Connection);
+  return Result;
+}
+
 void Listener::closeIdle() {
   asio::error_code Ignored;
   // The result does not matter: the process is about to exit.
--- a/balsamyard/src/Connection/ServerConnection.h
+++ b/balsamyard/src/Connection/ServerConnection.h
@@ -11,6 +11,7 @@
 #include <boost/intrusive/list.hpp>
 #include <functional>
 #include <string>
+#include <vector>
 
 namespace balsamyard {
 
@@ -64,7 +65,8 @@
   /// \brief Closes the connection after the next answer.
   void beginStop() { this->Stopping = true; }
 
-  /// \brief Closes the connection if no request is being read or handled.
+  /// \brief Closes the connection if no request is being read or handled,
+  /// otherwise after the next answer.
   void closeIfIdle();
 
   /// \brief Closes the connection in any state.
@@ -102,6 +104,7 @@
   State CurrentState = State::Reading;
   bool PeerKeepsOpen = true;
   bool Stopping = false;
+  bool CloseWhenIdle = false;
   bool Reading = false;
   bool KeepAfterWrite = false;
   bool HeaderTimerArmed = false;
@@ -136,6 +139,9 @@
   /// request.
   void closeIdle();
 
+  /// \returns the open connections.
+  std::vector<Ref<ServerConnection>> open();
+
   std::size_t connections() const { return this->Connections.size(); }
 
 private:
--- a/balsamyard/src/Process/Node.cpp
+++ b/balsamyard/src/Process/Node.cpp
@@ -112,7 +112,17 @@
 }
 
 void WorkerThread::closeIdle() {
-  asio::post(this->Io, [this] { this->Callers.closeIdle(); });
+  asio::post(this->Io, [this] {
+    this->Context.IsStopping = true;
+    this->Callers.closeIdle();
+  });
+}
+
+void WorkerThread::endRequests() {
+  asio::post(this->Io, [this] {
+    for (const Ref<ServerConnection> &Caller : this->Callers.open())
+      RequestRun::stop(*Caller);
+  });
 }
 
 void WorkerThread::tick() {
@@ -289,8 +299,15 @@
   std::size_t Open = 0;
   for (const auto &Worker : this->Workers)
     Open += Worker->connections();
-  const bool TimeOver =
-      Age >= this->Settings.Bounds.StopTime - this->Stops.ExitMargin;
+  const TimePoint Now = steadyNow();
+  if (Age >= this->Settings.Bounds.StopTime - this->Stops.ExitMargin &&
+      !this->RequestsEndedAt) {
+    this->RequestsEndedAt = Now;
+    for (const auto &Worker : this->Workers)
+      Worker->endRequests();
+  }
+  const bool TimeOver = this->RequestsEndedAt &&
+                        Now - *this->RequestsEndedAt >= this->Stops.FlushTime;
   // The count of connections lags by one tick of the worker threads.
   const bool Settled =
       Age >= this->Stops.KeepAccepting + std::chrono::milliseconds(200);
--- a/balsamyard/src/Process/Node.h
+++ b/balsamyard/src/Process/Node.h
@@ -14,6 +14,7 @@
 #include <atomic>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <thread>
 #include <vector>
 
@@ -29,6 +30,9 @@
   /// Part of the stop time that is reserved for the exit of the process.
   Duration ExitMargin = std::chrono::milliseconds(500);
 
+  /// Time in which the answers to the last requests are sent.
+  Duration FlushTime = std::chrono::milliseconds(200);
+
   /// How often open connections are checked during the shutdown.
   Duration CheckInterval = std::chrono::milliseconds(50);
 };
@@ -54,8 +58,14 @@
   void onViewChanged();
 
   void beginStop();
+
+  /// \brief Rejects all requests from now on, and closes the connections
+  /// without one.
   void closeIdle();
 
+  /// \brief Ends all requests with a final answer.
+  void endRequests();
+
   /// \returns the counters of this thread. Each thread has its own to avoid
   /// contention between requests.
   const Metrics &counters() const { return this->Counters; }
@@ -136,6 +146,7 @@
   TimePoint StopBegan{};
   bool Stopping = false;
   bool IdleClosed = false;
+  std::optional<TimePoint> RequestsEndedAt;
 };
 
 } // namespace balsamyard
--- a/balsamyard/src/Request/RequestRun.cpp
+++ b/balsamyard/src/Request/RequestRun.cpp
@@ -14,6 +14,9 @@
 /// A process that has just started loads its configuration within this time.
 constexpr Duration StartRetryAfter = std::chrono::milliseconds(500);
 
+/// Another process is ready at once.
+constexpr Duration StopRetryAfter = std::chrono::milliseconds(100);
+
 /// An overloaded process has finished most of its requests after this time.
 constexpr Duration OverloadRetryAfter = std::chrono::milliseconds(300);
 
@@ -86,6 +89,10 @@
     reject(Context, Caller, {400, "host, path or request id is missing"});
     return;
   }
+  if (Context.IsStopping) {
+    reject(Context, Caller, {503, "the node is stopping", StopRetryAfter});
+    return;
+  }
   Ref<const FleetView> View = Context.View.read();
   if (!View->Config) {
     reject(Context, Caller,
@@ -141,6 +148,12 @@
       SharedHead(Context.Protocol.sharedHead(this->Request)),
       Decisions(std::move(Input)), Timer(Context.Io), Arrived(steadyNow()) {}
 
+void RequestRun::stop(ServerConnection &Caller) {
+  if (const Ref<RequestRun> Run(static_cast<RequestRun *>(Caller.Attached));
+      Run)
+    Run->handle(ScatterStopped{});
+}
+
 void RequestRun::callerDisconnected(ServerConnection &Caller) {
   const Ref<RequestRun> Run(static_cast<RequestRun *>(Caller.Attached));
   if (!Run)
--- a/balsamyard/src/Request/RequestRun.h
+++ b/balsamyard/src/Request/RequestRun.h
@@ -34,6 +34,10 @@
   /// May be called from any thread.
   std::function<void(RequestCrashEvent)> OnCrashEvent;
 
+  /// Set late in a planned stop: requests are rejected, since they might not
+  /// end before the process does.
+  bool IsStopping = false;
+
   /// When the thread is next due to check its connections. If that is overdue,
   /// a request that is read now may have waited for as long.
   TimePoint NextTick{};
@@ -64,6 +68,10 @@
   static void start(RequestContext &Context, ServerConnection &Caller,
                     HttpRequest Request);
 
+  /// \brief Ends the request of \p Caller, if there is one, with a final
+  /// answer.
+  static void stop(ServerConnection &Caller);
+
   /// \brief Aborts the attempts of a request whose caller disconnected.
   static void callerDisconnected(ServerConnection &Caller);
 
--- a/balsamyard/src/Request/Scatter.cpp
+++ b/balsamyard/src/Request/Scatter.cpp
@@ -423,6 +423,10 @@
   this->checkLate(Now, Effects);
 }
 
+void Scatter::on(const ScatterStopped &, TimePoint Now, ScatterEffects &) {
+  this->Input.Deadline = std::min(this->Input.Deadline, Now);
+}
+
 void Scatter::checkLate(TimePoint Now, ScatterEffects &Effects) {
   const Duration Delay = this->hedgeDelay();
   // submit() appends attempts; new ones are not checked in this pass.
--- a/balsamyard/src/Request/Scatter.h
+++ b/balsamyard/src/Request/Scatter.h
@@ -52,8 +52,12 @@
 /// \brief The time of the last WakeScatter has been reached.
 struct ScatterTimeReached {};
 
-using ScatterEvent = std::variant<ScatterStarted, AttemptSent, AttemptAnswered,
-                                  AttemptLost, ScatterTimeReached>;
+/// \brief The process is about to end: the request has to end now.
+struct ScatterStopped {};
+
+using ScatterEvent =
+    std::variant<ScatterStarted, AttemptSent, AttemptAnswered, AttemptLost,
+                 ScatterTimeReached, ScatterStopped>;
 
 /// \brief Send the request to the target of this attempt.
 struct SubmitAttempt {
@@ -198,6 +202,8 @@
   void on(const ScatterTimeReached &Event, TimePoint Now,
           ScatterEffects &Effects);
 
+  void on(const ScatterStopped &Event, TimePoint Now, ScatterEffects &Effects);
+
   TargetChoice choose(const ShardProgress &Progress, TimePoint Now);
   bool submit(std::uint32_t ShardIndex, bool Hedge, TimePoint Now,
               ScatterEffects &Effects);
--- a/tests/path/NodeTest.cpp
+++ b/tests/path/NodeTest.cpp
@@ -31,6 +31,7 @@
                    {"maxBodyBytes", 4096},
                    {"headerTimeoutMs", 2000},
                    {"idleTimeoutMs", 20000}}}};
+  Duration StopTime = 6 * Second;
   std::unique_ptr<Node> Process;
   std::thread Thread;
 
@@ -84,6 +85,7 @@
                                        Address.substr(Address.find(':') + 1)))};
     Settings.Cores = 2;
     Settings.Bounds.RetrySlack = 1000;
+    Settings.Bounds.StopTime = this->StopTime;
     this->Process = std::make_unique<Node>(
         Settings, platform::makeAdapter(),
         [Settings] { return Expected<NodeSettings>(Settings); }, "",
@@ -658,3 +660,54 @@
     }
   }
 }
+
+// Guards against requests that are taken late in a planned stop, or are still
+// running at its end, and are cut without an answer (LOST).
+SCENARIO("a planned stop leaves no request without an answer", "[node][stop]") {
+  PlatformWorld World;
+  World.StopTime = 1500 * Millisecond;
+  World.addRoute("/records/",
+                 {{"service", "records"}, {"type", "non_idempotent"}});
+  World.addRoute("/hanging/", {{"service", "hanging"}, {"timeoutMs", 20000}});
+  FakeTarget &Target = World.add("records", "i-1", "stored", WellBehaved{});
+  FakeTarget &Hanging = World.add("hanging", "i-2", "", Silent{});
+  World.start();
+  FakeCaller Caller = World.caller();
+  const auto Stop = [&World] {
+    ::kill(::getpid(), SIGTERM);
+    while (World.readiness() == 200)
+      ::usleep(2000);
+  };
+
+  GIVEN("a request whose target does not answer before the end") {
+    Caller.send("GET /hanging/x HTTP/1.1\r\nHost: a.example\r\n"
+                "X-Balsamyard-Attempt-Id: id-1\r\n"
+                "X-Balsamyard-Request-Deadline: 20000\r\n\r\n");
+    while (Hanging.requests().empty())
+      ::usleep(1000);
+    Stop();
+    World.Thread.join();
+    World.Process.reset();
+    THEN("it gets an answer that does not say that it has not run") {
+      CHECK(Caller.receive().Status == 504);
+    }
+  }
+  GIVEN("a request of which a part has arrived when the stop begins") {
+    const std::string Message = get("/records/x");
+    Caller.send(Message.substr(0, 20));
+    ::usleep(50'000);
+    Stop();
+    WHEN("the rest comes when no more requests are taken") {
+      ::usleep(400'000);
+      Caller.send(Message.substr(20));
+      THEN("it is rejected at once, and has not run") {
+        const HttpResponse Answer = Caller.receive();
+        CHECK(Answer.Status == 503);
+        CHECK(!field(Answer, "Retry-After").empty());
+        CHECK(field(Answer, "Connection") == "close");
+        CHECK(Target.requests().empty());
+        World.Thread.join();
+      }
+    }
+  }
+}
