Do not begin to read the list of nodes while it is being read

A list whose calls wait behind others could be read a second time at once. The pages of both went into one list; the later one had lost its kind and was taken for changes of the configuration, which moves the known revision of the configuration ahead, so that a change could be missed (CONFIG). No test of its own.

--- a/balsamyard/src/Process/NodeRegistry.cpp
+++ b/balsamyard/src/Process/NodeRegistry.cpp
@@ -213,8 +213,11 @@
 }
 
 void NodeRegistry::readPage(const std::string &After) {
-  if (After.empty())
+  if (After.empty()) {
+    if (std::exchange(this->Reading, true))
+      return;
     this->Listing = {ObjectKind::Nodes, true, {}, {}};
+  }
   this->Calls.call(
       this->Adapter.StaleListCall(ObjectKind::Nodes, After),
       [this](const Expected<HttpResponse> &Result) {
@@ -222,6 +225,7 @@
                                 : FeedInput(FeedCallFailed{Result.error()});
         auto *Page = std::get_if<FeedPage>(&Read);
         if (Page == nullptr) {
+          this->Reading = false;
           logEvent(LogLevel::Warning, "nodes-not-counted",
                    {{"detail", describeResult(Result)}});
           this->scheduleAfter(ObjectFeed::MaxBackoff, &NodeRegistry::maintain);
@@ -231,10 +235,12 @@
           this->Listing.AsOf = Page->AsOf;
         for (StoredObject &Object : Page->Objects)
           this->Listing.Changes.push_back({std::move(Object), false});
-        if (Page->HasMore && !this->Listing.Changes.empty())
+        if (Page->HasMore && !this->Listing.Changes.empty()) {
           this->readPage(this->Listing.Changes.back().Object.Name);
-        else
-          this->Events.OnListed(std::exchange(this->Listing, {}));
+          return;
+        }
+        this->Reading = false;
+        this->Events.OnListed(std::exchange(this->Listing, {}));
       });
 }
 
--- a/balsamyard/src/Process/NodeRegistry.h
+++ b/balsamyard/src/Process/NodeRegistry.h
@@ -90,6 +90,7 @@
   std::uint64_t Heartbeat;
   TimePoint RenewedAt{};
   KindUpdate Listing;     ///< The pages read so far.
+  bool Reading = false;   ///< A list is being read.
   bool Recounted = false; ///< Nodes that started together are counted.
 };
 
