Count crashes of targets by incarnation

A target that starts again under its id and crashes again counted once, so that a request that crashes the two targets of a service again and again was never refused (BUDGET). Crash records now name the incarnation: id and start time. Connections that cannot be opened after a loss are no further loss, which would move its time. Test: 'a target that starts again under its id, and crashes again' in CrashRecordsTest (did not exist before).

--- a/balsamyard/src/Connection/TargetChannel.cpp
+++ b/balsamyard/src/Connection/TargetChannel.cpp
@@ -286,12 +286,15 @@
 
 void TargetChannel::onAllLinksLost() {
   const TimePoint Now = steadyNow();
-  this->Target->noteLoss(Now);
-  logEvent(LogLevel::Info, "target-lost",
-           {{"target", this->Target->Info.Id.Text},
-            {"service", this->Target->Info.Service.Text},
-            {"request_broken",
-             Now - this->RequestBrokenAt < this->Times.CrashSpread}});
+  // Connections that cannot be opened afterwards are no further loss.
+  if (this->Target->reach() == Reach::Up || this->Retired) {
+    this->Target->noteLoss(Now);
+    logEvent(LogLevel::Info, "target-lost",
+             {{"target", this->Target->Info.Id.Text},
+              {"service", this->Target->Info.Service.Text},
+              {"request_broken",
+               Now - this->RequestBrokenAt < this->Times.CrashSpread}});
+  }
   this->suspect();
 }
 
--- a/balsamyard/src/Process/CrashWatch.cpp
+++ b/balsamyard/src/Process/CrashWatch.cpp
@@ -13,6 +13,13 @@
   return Apart <= CrashWatch::ConfirmTime && Apart >= -CrashWatch::ConfirmTime;
 }
 
+/// \returns an id of the incarnation: a target that crashes may start again
+/// under its id, and crash again.
+TargetId incarnationId(const TargetInfo &Info) {
+  return {Info.Id.Text + "@" +
+          std::to_string(Info.Started.time_since_epoch().count())};
+}
+
 } // namespace
 
 void CrashWatch::add(RequestBroken Event, TimePoint Now) {
@@ -28,7 +35,7 @@
     RequestCrashedTargets Found{Due.Event.Print, {}};
     for (const BrokenAttempt &Attempt : Due.Event.Attempts)
       if (isCrash(Attempt))
-        Found.Targets.push_back(Attempt.Target->Info.Id);
+        Found.Targets.push_back(incarnationId(Attempt.Target->Info));
     if (!Found.Targets.empty())
       Result.push_back(std::move(Found));
   }
--- a/balsamyard/src/Version/CrashList.h
+++ b/balsamyard/src/Version/CrashList.h
@@ -45,7 +45,7 @@
 /// it.
 struct RequestCrashedTargets {
   Fingerprint Print{};
-  std::vector<TargetId> Targets;
+  std::vector<TargetId> Targets; ///< One for each incarnation.
 };
 
 /// \brief A suspected request succeeded.
--- a/tests/path/CrashRecordsTest.cpp
+++ b/tests/path/CrashRecordsTest.cpp
@@ -418,6 +418,19 @@
     Target->noteLoss(Broken - 100 * Millisecond);
     THEN("it has crashed") { CHECK(Found(*Watch.nextCheck()) == 1); }
   }
+  GIVEN("a target that starts again under its id, and crashes again") {
+    Target->noteLoss(Broken);
+    TargetInfo Later = Target->Info;
+    Later.Started += std::chrono::seconds(1);
+    const auto Again = makeRef<KnownTarget>(Later);
+    Again->noteLoss(Broken);
+    Watch.add({Print, {{Again, Broken}}}, Broken);
+    THEN("these are two crashes") {
+      const auto Crashes = Watch.take(*Watch.nextCheck());
+      REQUIRE(Crashes.size() == 2);
+      CHECK(Crashes[0].Targets != Crashes[1].Targets);
+    }
+  }
   GIVEN("a target that keeps other connections") {
     Target->noteLoss(Broken - 10 * Second);
     THEN("it has closed only this one") {
