--- a/tests/path/FakeFleet.h
+++ b/tests/path/FakeFleet.h
@@ -92,7 +92,7 @@
 struct Leaving {};
 /// \brief Rejects the request and asks for a pause of this many seconds.
 struct Pausing {
-  std::string Seconds;
+  const char *Seconds;
 };
 
 using Behaviour = std::variant<WellBehaved, Silent, Late, DuplicateAnswer,
@@ -194,7 +194,8 @@
             [&](const Pausing &Busy) {
               Held->answer("HTTP/1.1 503 Busy\r\nX-Balsamyard-Not-Executed: 1"
                            "\r\nRetry-After: " +
-                               Busy.Seconds + "\r\nContent-Length: 0\r\n\r\n",
+                               std::string(Busy.Seconds) +
+                               "\r\nContent-Length: 0\r\n\r\n",
                            true);
             }},
         this->Acts);
