Draw the random numbers of write schedules one by one

Cause: two random draws were operands of one expression, whose order of evaluation is unspecified; compilers for x86-64 and arm64 differ, so a seed gave another schedule. The check stays as it is; only the draws are in the order that they had on x86-64.

--- a/tests/WriteGateTest.cpp
+++ b/tests/WriteGateTest.cpp
@@ -564,10 +564,13 @@
 
   void issueWrite() {
     const std::uint64_t Number = ++this->Issued;
+    // Drawn one by one: compilers for different machines evaluate the operands
+    // of one expression in different orders, so a seed would not give the same
+    // schedule everywhere.
+    const auto Behind = this->delay(300);
     // Most caller clocks are at most 2 s ahead, some up to 9 s.
-    const WallTime Issue =
-        this->Now + (this->chance(10) ? this->delay(9000) : this->delay(2000)) -
-        this->delay(300);
+    const auto Ahead = this->chance(10) ? this->delay(9000) : this->delay(2000);
+    const WallTime Issue = this->Now + Ahead - Behind;
     const RequestId Id = this->chance(10)
                              ? RequestId{"order-" + std::to_string(Number)}
                              : makeId(Issue, Number);
