--- a/tests/path/CrashRecordsTest.cpp
+++ b/tests/path/CrashRecordsTest.cpp
@@ -337,8 +337,8 @@
 
 } // namespace
 
-// Guards against a request that goes on to crash targets after the third crash
-// (BUDGET): three attempts that count are allowed.
+// Guards against a request that goes on to crash targets after the third crash:
+// three attempts that count are allowed.
 SCENARIO("a request that crashes targets is soon refused by all nodes",
          "[crash]") {
   for (const std::size_t Count : {7U, 87U, 295U}) {
--- a/tests/path/DepartureTest.cpp
+++ b/tests/path/DepartureTest.cpp
@@ -78,7 +78,7 @@
 }
 
 // Guards against a target that has left and is used again, because a list that
-// is older than its departure says that it is ready (DRAIN).
+// is older than its departure says that it is ready.
 SCENARIO("an older entry does not bring a leaving target back", "[departure]") {
   DepartureWorld World;
   World.announce(announcement(false));
--- a/tests/path/HttpParserTest.cpp
+++ b/tests/path/HttpParserTest.cpp
@@ -34,7 +34,7 @@
 } // namespace
 
 // Guards against a response that ends within its head or body and is taken for
-// a complete one (MIXED).
+// a complete one.
 SCENARIO("a response ends early", "[http]") {
   for (const char *Framing :
        {"Content-Length: 4\r\n\r\nbody", "Content-Length: 0\r\n\r\n",
--- a/tests/path/NodeTest.cpp
+++ b/tests/path/NodeTest.cpp
@@ -189,7 +189,7 @@
   }
 
   // Guards against configurations that are taken for old ones, because the
-  // store has given out their revisions before (CONFIG).
+  // store has given out their revisions before.
   GIVEN("a store that is restored from a copy") {
     World.Store.copy();
     World.Config["version"] = 8;
@@ -435,7 +435,7 @@
     }
   }
 
-  // Guards against crashes that are not counted (BUDGET).
+  // Guards against crashes that are not counted.
   GIVEN("a request that crashes a target, and whose caller leaves before the "
         "answer") {
     Caller.send(get("/mixed/x"));
@@ -452,7 +452,7 @@
     }
   }
 
-  // Guards against a crash that the other nodes never learn of (BUDGET).
+  // Guards against a crash that the other nodes never learn of.
   GIVEN("a request that crashes targets while the store is silent") {
     World.Store.setSilent(true);
     int Sent = 0;
@@ -474,8 +474,7 @@
     }
   }
 
-  // Guards against a refused request that comes back when its record is lost
-  // (BUDGET).
+  // Guards against a refused request that comes back when its record is lost.
   GIVEN("a refused request whose record was removed from the store") {
     int Sent = 0;
     while (
@@ -527,8 +526,8 @@
   }
 }
 
-// Guards against requests to a target that has said in an answer that it leaves
-// (DRAIN), while its entry in the store says otherwise.
+// Guards against requests to a target that has said in an answer that it
+// leaves, while its entry in the store says otherwise.
 SCENARIO("a target that says in an answer that it leaves gets no more requests",
          "[node][departure]") {
   PlatformWorld World;
@@ -575,7 +574,7 @@
 }
 
 // Guards against requests to a target that has answered 503 and asked for a
-// pause (BUDGET).
+// pause.
 SCENARIO("a target that asks for a pause gets no requests until its end",
          "[node][pause]") {
   PlatformWorld World;
@@ -594,7 +593,7 @@
   }
 }
 
-// Guards against requests to an evacuated failure domain (EVAC), and against
+// Guards against requests to an evacuated failure domain, and against
 // nodes that are not counted, after the store has lost what was written last.
 SCENARIO("a restored store lacks an evacuation and the entry of a node",
          "[node][restore]") {
@@ -638,7 +637,7 @@
 }
 
 // Guards against an answer that a target has broken off, and that a caller gets
-// as a complete one (MIXED).
+// as a complete one.
 SCENARIO("a target closes within the head or the body of its answer",
          "[node]") {
   PlatformWorld World;
@@ -662,7 +661,7 @@
 }
 
 // Guards against requests that are taken late in a planned stop, or are still
-// running at its end, and are cut without an answer (LOST).
+// running at its end, and are cut without an answer.
 SCENARIO("a planned stop leaves no request without an answer", "[node][stop]") {
   PlatformWorld World;
   World.StopTime = 1500 * Millisecond;
--- a/tests/path/ObjectCacheTest.cpp
+++ b/tests/path/ObjectCacheTest.cpp
@@ -100,7 +100,7 @@
 }
 
 // Guards against changes that are taken for old ones after the store came back
-// from a copy, in which their revisions were given out again (CONFIG).
+// from a copy, in which their revisions were given out again.
 SCENARIO("a cache takes over the objects of a restored store", "[cache]") {
   const auto InEra = [](KindUpdate Update, std::uint64_t Era) {
     Update.AsOf.Era = Era;
--- a/tests/path/PlatformTest.cpp
+++ b/tests/path/PlatformTest.cpp
@@ -353,7 +353,7 @@
 }
 
 // Guards against readers that end, or stop following the list of targets,
-// because of one odd entry (LOST).
+// because of one odd entry.
 SCENARIO("an entry holds a number that is out of range", "[platform]") {
   const json Valid = {{"service", "records"},
                       {"address", "10.1.0.9:7001"},
--- a/tests/path/ServiceMoveTest.cpp
+++ b/tests/path/ServiceMoveTest.cpp
@@ -301,7 +301,7 @@
   }
 }
 
-// Guards against requests to a version that was rolled back (EXPOSURE), or to
+// Guards against requests to a version that was rolled back, or to
 // targets that have stopped, after the store has lost the end of the move.
 SCENARIO("a restored store lacks the end of a move", "[move]") {
   struct Kind {
--- a/tests/path/TargetChannelTest.cpp
+++ b/tests/path/TargetChannelTest.cpp
@@ -257,7 +257,7 @@
   });
 }
 
-// Guards against a crash that is taken for an idle close (BUDGET): the
+// Guards against a crash that is taken for an idle close: the
 // connection with the request breaks first, and those that are idle for more
 // than a second end right after it.
 SCENARIO("a target that crashes under a request loses its idle connections",
--- a/tests/path/TargetPauseTest.cpp
+++ b/tests/path/TargetPauseTest.cpp
@@ -149,7 +149,7 @@
 }
 
 // Guards against requests that reach a target during a pause that it has asked
-// for (BUDGET).
+// for.
 SCENARIO("nothing is sent to a target during its pause", "[pause]") {
   GIVEN("two requests that share a connection") {
     PauseWorld World("30");
