--- a/review/common/Standins.h
+++ b/review/common/Standins.h
@@ -251,6 +251,18 @@
   }
   std::uint16_t port() const { return this->Port; }
 
+  /// Ends all connections, and resets new ones until restart().
+  void crash() {
+    const std::lock_guard<std::mutex> Lock(this->Mutex);
+    this->Down = true;
+    for (Connection *Open : this->Links)
+      Open->shutdown();
+  }
+  void restart() {
+    const std::lock_guard<std::mutex> Lock(this->Mutex);
+    this->Down = false;
+  }
+
 private:
   // Servers live until the process ends.
   void accept() {
@@ -260,9 +272,19 @@
         continue;
       std::thread([this, Peer] {
         Connection Link(Peer);
+        {
+          const std::lock_guard<std::mutex> Lock(this->Mutex);
+          if (this->Down) {
+            Link.resetOnClose();
+            return;
+          }
+          this->Links.insert(&Link);
+        }
         Message Request;
         while (Link.Keep && Link.read(Request, 3.6e6, false))
           this->OnRequest(Link, Request);
+        const std::lock_guard<std::mutex> Lock(this->Mutex);
+        this->Links.erase(&Link);
       }).detach();
     }
   }
@@ -271,6 +293,9 @@
   const std::string Ip;
   int Fd = -1;
   std::uint16_t Port = 0;
+  std::mutex Mutex;
+  std::set<Connection *> Links;
+  bool Down = false;
 };
 
 inline std::string response(int Status, const std::string &Fields,
@@ -594,6 +619,14 @@
                     recordsOf(Attempt, this->Service));
   }
 
+  /// The process ends; it starts again, under its id, with restart().
+  void crash() { this->Http.crash(); }
+  void restart() {
+    this->Born += 10'000;
+    this->Sequence = 0;
+    this->Http.restart();
+  }
+
   void ran(const std::string &Attempt) { this->Seen.add(Attempt, this->Id); }
 
 private:
