--- a/review/common/Standins.h
+++ b/review/common/Standins.h
@@ -24,9 +24,11 @@
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <poll.h>
+#include <random>
 #include <set>
 #include <sstream>
 #include <string>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <thread>
@@ -602,6 +604,7 @@
   const std::string Id, Service, Zone;
   std::uint64_t Born = 1'790'000'000'000;
   std::atomic<double> WorkMs{5};
+  std::atomic<double> SpreadMs{0}; ///< Mean of an exponential part of the work.
 
   /// Fields that each answer to a request carries besides.
   std::function<std::string()> ExtraFields;
@@ -647,7 +650,9 @@
     if (this->Before && this->Before(*this, Link, Request))
       return;
     this->ran(Attempt);
-    sleepMs(this->WorkMs);
+    thread_local std::minstd_rand Random(std::random_device{}());
+    std::exponential_distribution<double> Spread(1);
+    sleepMs(this->WorkMs + this->SpreadMs * Spread(Random));
     Link.send(this->success(Attempt));
   }
 
@@ -707,6 +712,7 @@
     this->Process = ::fork();
     if (this->Process != 0)
       return;
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL); // Ends with the case in any event.
     const int Out = ::open(Log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     ::dup2(Out, 1);
     ::dup2(Out, 2);
@@ -751,6 +757,15 @@
     return false;
   }
 
+  /// \returns the end of its log, for cases that could not run.
+  std::string logTail() const {
+    std::ifstream File(this->Folder + "/" + this->Name + ".log");
+    std::ostringstream Text;
+    Text << File.rdbuf();
+    const std::string All = Text.str();
+    return All.substr(All.size() > 3000 ? All.size() - 3000 : 0);
+  }
+
 private:
   const std::map<std::string, std::string> Zones;
   const std::string StoreAddress, Folder;
