--- a/review/common/Standins.h
+++ b/review/common/Standins.h
@@ -679,7 +679,6 @@
 
   const std::string Name, Ip, Zone, Region;
   bool Bootstrap = true;
-  int MaxHold = 0;
 
   void start() {
     const std::string Path = this->Folder + "/" + this->Name + ".yaml";
@@ -744,19 +743,6 @@
     return Status;
   }
 
-  bool isReady() const {
-    const auto Link = dial(this->Ip, ReadinessPort);
-    Message Answer;
-    return Link && Link->send("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n") &&
-           Link->read(Answer, 500, true) && Answer.status() == 200;
-  }
-  bool waitReady(double TimeoutMs) const {
-    for (const double Until = nowMs() + TimeoutMs; nowMs() < Until; sleepMs(50))
-      if (this->isReady())
-        return true;
-    return false;
-  }
-
   /// \returns the end of its log, for cases that could not run.
   std::string logTail() const {
     std::ifstream File(this->Folder + "/" + this->Name + ".log");
@@ -825,6 +811,20 @@
   std::shared_ptr<Connection> Link;
 };
 
+/// Waits until the node serves a request. Its readiness page is no measure: a
+/// node whose lists without entries come last stays "not ready" until something
+/// changes, although it serves.
+inline bool waitServing(const Node &Front, const std::string &Method,
+                        const std::string &Path, double TimeoutMs) {
+  Consumer Caller(Front.Ip, "start-" + Front.Name + "-" +
+                                std::to_string(static_cast<int>(nowMs())));
+  for (const double Until = nowMs() + TimeoutMs; nowMs() < Until; sleepMs(50))
+    if (Caller.ask(Method, Path, 1000, Method == "POST" ? "start" : "")
+            .status() == 200)
+      return true;
+  return false;
+}
+
 inline Json service(const std::string &Name, int MaxConnections = 31,
                     double WarmupPerS = 0) {
   return {{"name", Name},
