--- a/review/5/Case.cpp
+++ b/review/5/Case.cpp
@@ -91,23 +91,38 @@
   }
   while (nowMs() < AckedAt + DrainMs + 1000)
     sleepMs(10);
-  // The fourth node gets its first requests since the start.
   std::mutex Mutex;
-  std::vector<std::string> Ids;
-  std::vector<std::thread> Late;
-  for (int Index = 0; Index < 6; ++Index)
-    Late.emplace_back([&, Index] {
-      Consumer Caller(Nodes[3]->Ip, "late" + std::to_string(Index));
-      for (int Turn = 0; Turn < 20; ++Turn) {
-        const Outcome Result = Caller.ask("POST", "/desk/1", 2000, "x");
-        Log.line("request " + Result.Id + " at node 4: status " +
-                 std::to_string(Result.status()));
-        const std::lock_guard<std::mutex> Lock(Mutex);
-        Ids.push_back(Result.Id);
-      }
-    });
-  for (std::thread &Thread : Late)
-    Thread.join();
+  std::vector<std::string> Ids; // Of requests that are sent too late.
+  const auto AskFourth = [&](const std::string &Name) {
+    std::vector<std::thread> Late;
+    for (int Index = 0; Index < 6; ++Index)
+      Late.emplace_back([&, Index] {
+        Consumer Caller(Nodes[3]->Ip, Name + std::to_string(Index));
+        for (int Turn = 0; Turn < 20; ++Turn) {
+          const Outcome Result = Caller.ask("POST", "/desk/1", 2000, "x");
+          Log.line("request " + Result.Id + " at node 4: status " +
+                   std::to_string(Result.status()));
+          const std::lock_guard<std::mutex> Lock(Mutex);
+          Ids.push_back(Result.Id);
+        }
+      });
+    for (std::thread &Thread : Late)
+      Thread.join();
+  };
+  // The fourth node gets its first requests since the start.
+  AskFourth("late");
+  // It is stopped and started as planned, and is in touch again.
+  Nodes[3]->signal(SIGTERM);
+  for (const double Until = nowMs() + 7000;
+       nowMs() < Until && !Nodes[3]->ended();)
+    sleepMs(20);
+  Nodes[3]->kill();
+  Nodes[3]->Bootstrap = false;
+  Nodes[3]->start();
+  Log.say("node 4 was stopped and started again");
+  constexpr double ContactMs = 4000;
+  sleepMs(ContactMs + 3000);
+  AskFourth("restarted");
   Stop = true;
   for (std::thread &Thread : Threads)
     Thread.join();
