Reader: share the checks of the store among the readers

Change: a reader that has checked the store tells the other readers up to which revision it has read everything and when each kind last changed (StoreProgress, about 100 bytes, /v1/progress). A reader that is told so asks the store only for kinds of which it lacks that change, and puts off its own check. The time of a check is drawn at random from the last quarter of the interval, so mostly one reader checks. There is no agreement and no role: a message that is lost, or a reader that is cut off, leads to a check by another one, at the end of the interval at the latest. The interval is 0.4 of the drain time, 1.2 s at most.

Ruled out: a check by the reader of the lowest rank (its loss has to be noticed first); readers that follow each other (heals an answer that one of them lost, not one that all lost, and needs a second source for each reader).

Tests: a reader that is told makes no calls, and asks at once for a change that it lacks ("readers share the checks of the store").

--- a/balsamyard/src/Process/DepartureTimes.h
+++ b/balsamyard/src/Process/DepartureTimes.h
@@ -36,10 +36,10 @@
         RemovalGrace(std::min(MaxRemovalGrace, part(DrainTime, GracePart))) {}
 
 private:
-  static constexpr Duration MaxCheckInterval = std::chrono::seconds(1);
+  static constexpr Duration MaxCheckInterval = std::chrono::milliseconds(1200);
   static constexpr Duration MaxReadPause = std::chrono::milliseconds(900);
   static constexpr Duration MaxRemovalGrace = std::chrono::milliseconds(800);
-  static constexpr double CheckPart = 0.3;
+  static constexpr double CheckPart = 0.4;
   static constexpr double ReadPart = 0.3;
   static constexpr double GracePart = 0.27;
 
--- a/balsamyard/src/Process/FeedCodec.cpp
+++ b/balsamyard/src/Process/FeedCodec.cpp
@@ -165,6 +165,37 @@
   return readTargetReport(Document);
 }
 
+std::string encodeStoreProgress(const StoreProgress &Progress) {
+  Json Changed = Json::object();
+  for (const auto &[Kind, Revision] : Progress.Changed)
+    Changed[std::string(name(Kind))] = Revision.Number;
+  return toCbor({{"read_up_to", Progress.ReadUpTo.Number},
+                 {"era", Progress.ReadUpTo.Era},
+                 {"changed", std::move(Changed)}});
+}
+
+Expected<StoreProgress> decodeStoreProgress(std::string_view Bytes) {
+  const Json Document = parseCbor(Bytes).value_or(nullptr);
+  if (!Document.is_object() ||
+      !member(Document, "read_up_to").is_number_unsigned() ||
+      !member(Document, "changed").is_object())
+    return malformed(
+        "a field of the progress is missing or has the wrong type");
+  StoreProgress Result;
+  const std::uint64_t Era = eraIn(Document);
+  Result.ReadUpTo =
+      StoreRevision{member(Document, "read_up_to").get<std::uint64_t>(), Era};
+  for (const auto &[Key, Revision] : member(Document, "changed").items()) {
+    const std::optional<ObjectKind> Kind = kindNamed(Key);
+    if (!Revision.is_number_unsigned())
+      return malformed("a revision in the progress is malformed");
+    // Another release may know other kinds.
+    if (Kind)
+      Result.Changed[*Kind] = StoreRevision{Revision.get<std::uint64_t>(), Era};
+  }
+  return Result;
+}
+
 std::string encodeFeedRequest(const FeedRequest &Request) {
   Json Known = Json::object();
   Json Eras = Json::object();
--- a/balsamyard/src/Process/FeedCodec.h
+++ b/balsamyard/src/Process/FeedCodec.h
@@ -64,6 +64,19 @@
   }
 };
 
+/// \brief How far a node has read the store. Readers tell each other, so that
+/// one of them checks the store for all. \sa StoreReader
+struct StoreProgress {
+  /// The node has read all changes up to this revision, which was that of the
+  /// store when the message was sent.
+  StoreRevision ReadUpTo{};
+
+  /// No later change of the kind is known.
+  std::map<ObjectKind, StoreRevision> Changed;
+
+  bool operator==(const StoreProgress &) const = default;
+};
+
 using FeedMessage = std::variant<FeedSourceState, KindUpdatePart, TargetReport>;
 
 /// \brief Maximum number of bytes of objects in one part. One object may take
@@ -78,6 +91,9 @@
 std::string encodeTargetReport(const TargetReport &Report);
 Expected<TargetReport> decodeTargetReport(std::string_view Bytes);
 
+std::string encodeStoreProgress(const StoreProgress &Progress);
+Expected<StoreProgress> decodeStoreProgress(std::string_view Bytes);
+
 /// \returns the messages that carry \p Update, in order.
 std::vector<std::string> encodeKindUpdate(const KindUpdate &Update);
 
--- a/balsamyard/src/Process/FeedRelay.cpp
+++ b/balsamyard/src/Process/FeedRelay.cpp
@@ -17,8 +17,8 @@
 } // namespace
 
 FeedRelay::FeedRelay(asio::io_context &Context, const ObjectCache &Objects,
-                     SlowHandler OnSlow)
-    : Context(Context), Objects(Objects), OnSlow(std::move(OnSlow)),
+                     Handlers Events)
+    : Context(Context), Objects(Objects), Events(std::move(Events)),
       Timer(Context) {}
 
 Expected<void> FeedRelay::listen(const Endpoint &At) {
@@ -51,7 +51,17 @@
       return;
     }
     Stream->finish();
-    this->OnSlow(*Report);
+    this->Events.OnReport(*Report);
+    return;
+  }
+  if (RequestPath == ProgressPath) {
+    const Expected<StoreProgress> Progress = decodeStoreProgress(Message);
+    if (!Progress) {
+      logRejected(Progress.error());
+      return;
+    }
+    Stream->finish();
+    this->Events.OnProgress(*Progress);
     return;
   }
   Expected<FeedRequest> Request =
--- a/balsamyard/src/Process/FeedRelay.h
+++ b/balsamyard/src/Process/FeedRelay.h
@@ -24,15 +24,21 @@
   /// \brief Path of reports of slow targets.
   static constexpr const char *SlowPath = "/v1/slow";
 
+  /// \brief Path of the progress of other readers.
+  static constexpr const char *ProgressPath = "/v1/progress";
+
   /// Interval of the sign of life for followers.
   static constexpr Duration StateInterval = std::chrono::milliseconds(700);
 
-  using SlowHandler = std::function<void(const TargetReport &)>;
+  /// \brief Handle what other nodes tell this one.
+  struct Handlers {
+    std::function<void(const TargetReport &)> OnReport;
+    std::function<void(const StoreProgress &)> OnProgress;
+  };
 
-  /// \p Objects outlives the relay. \p OnSlow is called for reports of other
-  /// nodes.
+  /// \p Objects outlives the relay.
   FeedRelay(asio::io_context &Context, const ObjectCache &Objects,
-            SlowHandler OnSlow);
+            Handlers Events);
 
   /// \brief Accepts followers at \p At.
   Expected<void> listen(const Endpoint &At);
@@ -87,7 +93,7 @@
 
   asio::io_context &Context;
   const ObjectCache &Objects;
-  const SlowHandler OnSlow;
+  const Handlers Events;
   asio::steady_timer Timer;
   bool Connected = false;
   std::optional<TimePoint> StoreReturnedAt;
--- a/balsamyard/src/Process/FeedSubscription.cpp
+++ b/balsamyard/src/Process/FeedSubscription.cpp
@@ -22,9 +22,17 @@
 }
 
 void FeedSubscription::report(const Endpoint &To, const TargetReport &Report) {
+  this->send(To, FeedRelay::SlowPath, encodeTargetReport(Report));
+}
+
+void FeedSubscription::tell(const Endpoint &To, const StoreProgress &Progress) {
+  this->send(To, FeedRelay::ProgressPath, encodeStoreProgress(Progress));
+}
+
+void FeedSubscription::send(const Endpoint &To, const char *Path,
+                            std::string Message) {
   this->client().call(
-      To, FeedRelay::SlowPath, encodeTargetReport(Report), ReportTimeout,
-      [](const std::string &) {},
+      To, Path, std::move(Message), ReportTimeout, [](const std::string &) {},
       [](Code, bool) {
         // A lost report is not sent again: the next one is as good.
       });
--- a/balsamyard/src/Process/FeedSubscription.h
+++ b/balsamyard/src/Process/FeedSubscription.h
@@ -41,6 +41,10 @@
   /// that node cannot be reached.
   void report(const Endpoint &To, const TargetReport &Report);
 
+  /// \brief Tells the node at \p To how far this node has read the store. The
+  /// message is lost if that node cannot be reached.
+  void tell(const Endpoint &To, const StoreProgress &Progress);
+
 private:
   /// One followed node. Its handlers run on the thread of the client and are
   /// posted to the control thread, where the state is used.
@@ -51,6 +55,7 @@
   };
 
   PeerClient &client();
+  void send(const Endpoint &To, const char *Path, std::string Message);
   void onMessage(Session &From, const std::string &Message);
   void onEnd(Session &From);
 
--- a/balsamyard/src/Process/FleetAgent.cpp
+++ b/balsamyard/src/Process/FleetAgent.cpp
@@ -35,7 +35,8 @@
              {[this](KindUpdate Update) {
                 this->onUpdate(std::move(Update), StoreSource);
               },
-              [this] { this->onStoreConnection(); }}),
+              [this] { this->onStoreConnection(); },
+              [this](const StoreProgress &Progress) { this->tell(Progress); }}),
       Subscription(
           Context,
           {[this](KindUpdate Update) {
@@ -46,7 +47,10 @@
            [this](const TargetReport &Report) { this->applyReport(Report); },
            [this] { this->handle(PeerLost{}); }}),
       Relay(Context, this->Objects,
-            [this](const TargetReport &Report) { this->onReport(Report); }),
+            {[this](const TargetReport &Report) { this->onReport(Report); },
+             [this](const StoreProgress &Progress) {
+               this->Reader.noteProgress(Progress);
+             }}),
       Moves(Context, Settings, Adapter, this->Fleet,
             {[this] { this->scheduleUpdate(); },
              [this] { return this->readsStore(); },
@@ -170,6 +174,13 @@
   }
 }
 
+void FleetAgent::tell(const StoreProgress &Progress) {
+  if (!this->Source.isReader())
+    return;
+  for (const PeerNode &Other : this->Source.readers())
+    this->Subscription.tell(Other.Peers, Progress);
+}
+
 void FleetAgent::applyReport(const TargetReport &Report) {
   this->Fleet.reportSlow(Report.Slow, steadyNow());
   this->Fleet.reportEndedLimits(Report.Unlimited);
--- a/balsamyard/src/Process/FleetAgent.h
+++ b/balsamyard/src/Process/FleetAgent.h
@@ -89,6 +89,9 @@
   /// \brief Applies what requests have found out about targets.
   void scanTargets();
   void exchangeReports();
+
+  /// \brief Tells the other readers how far this one has read the store.
+  void tell(const StoreProgress &Progress);
   void applyReport(const TargetReport &Report);
   void onReport(const TargetReport &Report);
   void tell(const CrashRecord &Record);
--- a/balsamyard/src/Process/ObjectFeed.cpp
+++ b/balsamyard/src/Process/ObjectFeed.cpp
@@ -16,6 +16,7 @@
   }
   this->Watching = true;
   this->Since = *Input.Since;
+  this->ChangedAt = *Input.Since;
   this->NextWatchDelay = this->WatchDelay;
   Outputs.push_back(WatchObjects{this->Since});
 }
@@ -38,6 +39,15 @@
     Outputs.push_back(FeedReconnected{});
 }
 
+void ObjectFeed::report(std::vector<ObjectChange> &Changes,
+                        FeedOutputs &Outputs) {
+  for (const ObjectChange &Change : Changes)
+    // The revision of a removed object may be that of its last content.
+    this->ChangedAt = std::max(
+        this->ChangedAt, Change.Removed ? this->Since : Change.Object.Revision);
+  Outputs.push_back(FeedChanged{std::move(Changes), this->Since});
+}
+
 void ObjectFeed::on(FeedPage &Input, FeedOutputs &Outputs) {
   // Later pages may be newer than the first one. Watching from the revision of
   // the first page may repeat changes, which is harmless, and misses none.
@@ -55,6 +65,7 @@
   }
   this->Watching = true;
   this->Since = this->ListedAt;
+  this->ChangedAt = this->ListedAt;
   this->onCallSucceeded(Outputs);
   this->NextWatchDelay = this->WatchDelay;
   Outputs.push_back(
@@ -74,7 +85,7 @@
   this->Since = std::max(this->Since, Input.AsOf);
   this->onCallSucceeded(Outputs);
   if (Advanced || !Quiet)
-    Outputs.push_back(FeedChanged{std::move(Input.Changes), this->Since});
+    this->report(Input.Changes, Outputs);
   if (Quiet)
     this->NextWatchDelay = this->WatchDelay;
   if (Quiet || MoreExpected || this->WatchDelay == Duration::zero()) {
@@ -98,7 +109,7 @@
   this->Since = Input.AsOf;
   if (Input.Changes.empty())
     return;
-  Outputs.push_back(FeedChanged{std::move(Input.Changes), this->Since});
+  this->report(Input.Changes, Outputs);
   // The watch should have been answered with these changes. Its connection may
   // return nothing any more.
   if (!this->Pausing)
--- a/balsamyard/src/Process/ObjectFeed.h
+++ b/balsamyard/src/Process/ObjectFeed.h
@@ -143,9 +143,18 @@
     return this->Watching && this->Since < Current;
   }
 
-  /// \returns the revision up to which all changes were read.
+  /// \returns the revision up to which all changes were read, once the objects
+  /// are listed.
   StoreRevision since() const { return this->Since; }
 
+  /// \returns a revision after which no change was read.
+  StoreRevision changedAt() const { return this->ChangedAt; }
+
+  /// \returns whether all changes up to \p Current were read.
+  bool isUpTo(StoreRevision Current) const {
+    return this->Watching && this->Since >= Current;
+  }
+
   /// \returns the era of the store from which objects were last read.
   std::uint64_t era() const {
     return std::max(this->Since, this->ListedAt).Era;
@@ -162,6 +171,7 @@
 
   void restart(FeedOutputs &Outputs);
   void pause(Duration Time, FeedOutputs &Outputs);
+  void report(std::vector<ObjectChange> &Changes, FeedOutputs &Outputs);
   void onCallSucceeded(FeedOutputs &Outputs);
 
   std::vector<StoredObject> Listed;
@@ -170,6 +180,7 @@
   Duration NextWatchDelay{};
   StoreRevision ListedAt{};
   StoreRevision Since{};
+  StoreRevision ChangedAt{};
   bool Watching = false;
   bool Pausing = false; ///< The timer runs, and no call is under way.
   bool Disconnected = false;
--- a/balsamyard/src/Process/StoreReader.cpp
+++ b/balsamyard/src/Process/StoreReader.cpp
@@ -11,6 +11,9 @@
 
 namespace {
 
+/// Checks are spread over this part of their interval.
+constexpr int CheckSpreadDivisor = 4;
+
 Duration watchDelay(ObjectKind Kind) {
   return Kind == ObjectKind::Targets ? StoreReader::TargetWatchDelay
                                      : Duration::zero();
@@ -30,7 +33,7 @@
       Departure(Settings.Bounds.DrainTime), Adapter(Adapter),
       Events(std::move(Events)), Probe(std::random_device()()),
       ProbeChannel(Context, Settings.Store), ProbeTimer(Context),
-      CheckTimer(Context) {}
+      CheckTimer(Context), Random(std::random_device()()) {}
 
 StoreReader::~StoreReader() { this->stop(); }
 
@@ -51,6 +54,7 @@
 
 void StoreReader::stop() {
   this->CheckTimer.cancel();
+  this->Checking = false;
   for (const std::unique_ptr<Feed> &Item : this->Feeds)
     Item->Channel.cancel();
   this->Feeds.clear();
@@ -174,7 +178,14 @@
 }
 
 void StoreReader::scheduleCheck() {
-  this->CheckTimer.expires_after(this->Departure.CheckInterval);
+  this->Checking = false;
+  // The reader whose time comes first checks the store; the others are told
+  // before their time has come.
+  const Duration Interval = this->Departure.CheckInterval;
+  const Duration Spread = Interval / CheckSpreadDivisor;
+  this->CheckTimer.expires_after(
+      Interval - Duration(this->Random.below(
+                     static_cast<std::uint32_t>(Spread.count()) + 1)));
   this->CheckTimer.async_wait([this](const asio::error_code &Cancelled) {
     if (!Cancelled)
       this->check();
@@ -187,28 +198,41 @@
     this->scheduleCheck();
     return;
   }
+  this->Checking = true;
   // A stale read may lag behind the changes that were lost.
   this->ProbeChannel.call(
       this->Adapter.ListCall(ObjectKind::Evacuations, {}), CheckTimeout,
       [this](const Expected<HttpResponse> &Result) {
         if (!hasSuccessStatus(Result)) {
-          this->restartSilentFeeds(
+          this->onCheckFailed(
               Error{Code::PlatformUnavailable, describeResult(Result)});
-          this->scheduleCheck();
           return;
         }
         const std::optional<StoreRevision> Current = this->revisionOf(*Result);
-        if (Current)
-          this->noteEra(Current->Era);
-        this->checkFeeds(Current.value_or(StoreRevision{}), 0);
+        if (!Current) {
+          this->scheduleCheck();
+          return;
+        }
+        this->noteEra(Current->Era);
+        RequiredRevisions Required;
+        for (const std::unique_ptr<Feed> &Item : this->Feeds)
+          Required[Item->Kind] = *Current;
+        this->checkFeeds(Required, 0,
+                         [this, Current] { this->reportProgress(*Current); });
       });
 }
 
-void StoreReader::checkFeeds(StoreRevision Current, std::size_t Next) {
-  while (Next < this->Feeds.size() &&
-         !this->Feeds[Next]->State.isBehind(Current))
+void StoreReader::checkFeeds(const RequiredRevisions &Required,
+                             std::size_t Next,
+                             const std::function<void()> &Done) {
+  const auto IsBehind = [&](const Feed &Item) {
+    const auto Found = Required.find(Item.Kind);
+    return Found != Required.end() && Item.State.isBehind(Found->second);
+  };
+  while (Next < this->Feeds.size() && !IsBehind(*this->Feeds[Next]))
     ++Next;
   if (Next >= this->Feeds.size()) {
+    Done();
     this->scheduleCheck();
     return;
   }
@@ -217,17 +241,43 @@
       this->Adapter.WatchCall(Checked.Kind, Checked.State.since(),
                               Duration::zero()),
       CheckTimeout,
-      [this, &Checked, Current, Next](const Expected<HttpResponse> &Result) {
+      [this, &Checked, Required, Next,
+       Done](const Expected<HttpResponse> &Result) {
         if (!Result) {
-          this->restartSilentFeeds(Result.error());
-          this->scheduleCheck();
+          this->onCheckFailed(Result.error());
           return;
         }
         this->onFeedChecked(Checked, this->Adapter.ReadEvents(*Result));
-        this->checkFeeds(Current, Next + 1);
+        this->checkFeeds(Required, Next + 1, Done);
       });
 }
 
+void StoreReader::onCheckFailed(const Error &Cause) {
+  this->restartSilentFeeds(Cause);
+  this->scheduleCheck();
+}
+
+void StoreReader::reportProgress(StoreRevision Current) {
+  StoreProgress Progress{Current, {}};
+  for (const std::unique_ptr<Feed> &Item : this->Feeds) {
+    if (!Item->State.isUpTo(Current))
+      return;
+    Progress.Changed[Item->Kind] = Item->State.changedAt();
+  }
+  this->Events.OnChecked(Progress);
+}
+
+void StoreReader::noteProgress(const StoreProgress &Other) {
+  // The own check that is under way shows as much, and so does a store that is
+  // back.
+  if (this->Feeds.empty() || this->Checking || this->Probe.isLost())
+    return;
+  this->noteEra(Other.ReadUpTo.Era);
+  this->Checking = true;
+  this->CheckTimer.cancel();
+  this->checkFeeds(Other.Changed, 0, [] {});
+}
+
 void StoreReader::onFeedChecked(Feed &Checked, FeedInput Read) {
   if (std::holds_alternative<FeedHistoryExpired>(Read)) {
     this->relist(Checked);
--- a/balsamyard/src/Process/StoreReader.h
+++ b/balsamyard/src/Process/StoreReader.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include "balsamyard/src/Connection/StoreChannel.h"
+#include "balsamyard/src/Core/RandomGenerator.h"
 #include "balsamyard/src/Process/DepartureTimes.h"
+#include "balsamyard/src/Process/FeedCodec.h"
 #include "balsamyard/src/Process/NodeSettings.h"
 #include "balsamyard/src/Process/ObjectCache.h"
 #include "balsamyard/src/Process/ObjectFeed.h"
@@ -18,6 +20,13 @@
 
 /// \brief Lists and watches the objects of the platform's store that concern
 /// all nodes. Runs on the control thread.
+///
+/// The answer to a watch may be lost while its connection stays open. To the
+/// node this looks like a watch that waits, so the readers check the store at
+/// regular intervals: one asks for the revision of the store and for all
+/// changes up to it, and tells the others how far it has read, which ask the
+/// store only for what they lack. A reader that is told nothing checks by
+/// itself.
 class StoreReader {
 public:
   /// Maximum duration of one watch call. Longer watches cost the store fewer
@@ -36,6 +45,9 @@
 
     /// The store was lost or regained.
     std::function<void()> OnConnection;
+
+    /// A check has shown that everything was read.
+    std::function<void(const StoreProgress &)> OnChecked;
   };
 
   StoreReader(asio::io_context &Context, const NodeSettings &Settings,
@@ -57,6 +69,9 @@
   /// again would miss changes.
   void noteEra(std::uint64_t Era);
 
+  /// \brief Reads what another reader has read and this one has not.
+  void noteProgress(const StoreProgress &Other);
+
   /// \returns whether all kinds are being watched.
   bool isConnected() const;
 
@@ -87,13 +102,21 @@
   void on(Feed &From, const FeedDisconnected &Output);
   void on(Feed &From, const FeedReconnected &Output);
 
+  /// \brief The revisions up to which the kinds have to be read.
+  using RequiredRevisions = std::map<ObjectKind, StoreRevision>;
+
   void scheduleCheck();
   void check();
 
-  /// \brief Asks for the changes of the feeds from index \p Next on that do not
-  /// know all changes up to \p Current.
-  void checkFeeds(StoreRevision Current, std::size_t Next);
+  /// \brief Asks for the changes of the feeds from index \p Next on that were
+  /// not read up to \p Required, then calls \p Done.
+  void checkFeeds(const RequiredRevisions &Required, std::size_t Next,
+                  const std::function<void()> &Done);
   void onFeedChecked(Feed &Checked, FeedInput Read);
+  void onCheckFailed(const Error &Cause);
+
+  /// \brief Reports the progress if everything was read up to \p Current.
+  void reportProgress(StoreRevision Current);
   void relist(Feed &Expired);
   void restartSilentFeeds(const Error &Cause);
 
@@ -115,6 +138,8 @@
   StoreChannel ProbeChannel;
   asio::steady_timer ProbeTimer;
   asio::steady_timer CheckTimer;
+  bool Checking = false;
+  RandomGenerator Random;
 };
 
 } // namespace balsamyard
--- a/tests/path/FeedRelayTest.cpp
+++ b/tests/path/FeedRelayTest.cpp
@@ -34,9 +34,12 @@
       asio::make_work_guard(Io);
   ObjectCache Known;
   std::vector<TargetReport> Reports;
-  FeedRelay Relay{Io, Known, [this](const TargetReport &Report) {
-                    Reports.push_back(Report);
-                  }};
+  std::vector<StoreProgress> Progress;
+  FeedRelay Relay{
+      Io,
+      Known,
+      {[this](const TargetReport &Report) { Reports.push_back(Report); },
+       [this](const StoreProgress &Told) { Progress.push_back(Told); }}};
   ObjectCache Received;
   std::vector<bool> States;
   std::vector<TargetReport> SlowReceived;
@@ -112,6 +115,17 @@
     Nodes.runUntil([&] { return !Nodes.States.back(); });
     THEN("it learns so") { CHECK_FALSE(Nodes.States.back()); }
   }
+  WHEN("it tells how far it has read the store") {
+    const StoreProgress Told{
+        StoreRevision{40, 2},
+        {{ObjectKind::Targets, StoreRevision{38, 2}},
+         {ObjectKind::Configuration, StoreRevision{7, 2}}}};
+    Nodes.Subscription->tell(Nodes.Relay.local(), Told);
+    Nodes.runUntil([&] { return !Nodes.Progress.empty(); });
+    THEN("the other one is told the same") {
+      CHECK(Nodes.Progress.front() == Told);
+    }
+  }
   WHEN("both report slow targets") {
     const TargetId Slow{"i-1"};
     Nodes.Subscription->report(Nodes.Relay.local(),
--- a/tests/path/StoreReaderTest.cpp
+++ b/tests/path/StoreReaderTest.cpp
@@ -19,6 +19,7 @@
   const PlatformAdapter Adapter = platform::makeAdapter();
   NodeSettings Settings;
   ObjectCache Known;
+  std::optional<StoreProgress> Progress; ///< Of the last check.
   std::unique_ptr<StoreReader> Reader;
 
   ReaderWorld() {
@@ -29,10 +30,12 @@
                          std::stoi(Address.substr(Address.find(':') + 1)))};
     this->Reader = std::make_unique<StoreReader>(
         this->Io, this->Settings, this->Adapter,
-        StoreReader::Handlers{[this](KindUpdate Update) {
-                                this->Known.update(std::move(Update));
-                              },
-                              [] {}});
+        StoreReader::Handlers{
+            [this](KindUpdate Update) {
+              this->Known.update(std::move(Update));
+            },
+            [] {},
+            [this](const StoreProgress &Next) { this->Progress = Next; }});
     this->Reader->start(this->Known);
     REQUIRE(this->runUntil([&] { return this->Reader->isConnected(); },
                            5 * Second));
@@ -165,3 +168,77 @@
     CHECK(Made <= Elapsed / Interval + 1);
   }
 }
+
+// Guards against checks whose price grows with the number of readers.
+SCENARIO("readers share the checks of the store", "[reader]") {
+  ReaderWorld World;
+  REQUIRE(
+      World.runUntil([&] { return World.Progress.has_value(); }, 5 * Second));
+  const StoreProgress Quiet = *World.Progress;
+  const Duration Interval =
+      DepartureTimes(World.Settings.Bounds.DrainTime).CheckInterval;
+  const auto HearFor = [&](const StoreProgress &Told, Duration Time) {
+    const TimePoint End = steadyNow() + Time;
+    while (steadyNow() < End) {
+      World.Reader->noteProgress(Told);
+      World.runUntil([] { return false; }, Interval / 6);
+    }
+  };
+
+  GIVEN("another reader that tells of its checks") {
+    World.Reader->noteProgress(Quiet);
+    const std::size_t Before = World.Store.calls();
+    HearFor(Quiet, 2 * Interval);
+    THEN("this one makes no calls") { CHECK(World.Store.calls() == Before); }
+    AND_WHEN("it ends") {
+      THEN("this one checks the store itself") {
+        CHECK(World.runUntil([&] { return World.Store.calls() > Before; },
+                             5 * Second));
+      }
+    }
+  }
+  GIVEN("a change, the answer about which is lost") {
+    World.Store.loseNextAnswer("servers");
+    World.Store.put("servers", "lost", nlohmann::json::object());
+    WHEN("another reader tells that it has read it") {
+      StoreProgress Told = Quiet;
+      ++Told.ReadUpTo.Number;
+      Told.Changed[ObjectKind::Targets] = Told.ReadUpTo;
+      const std::size_t Before = World.Store.calls();
+      World.Reader->noteProgress(Told);
+      THEN("this one asks the store for it") {
+        CHECK(World.learns(ObjectKind::Targets, "lost"));
+        // For the changes, and the next watch.
+        CHECK(World.Store.calls() <= Before + 2);
+      }
+    }
+  }
+  GIVEN("a change that is read") {
+    World.Store.put("evacuations", "east", nlohmann::json::object());
+    REQUIRE(World.learns(ObjectKind::Evacuations, "east"));
+    World.Progress.reset();
+    REQUIRE(
+        World.runUntil([&] { return World.Progress.has_value(); }, 5 * Second));
+    THEN("the progress names its revision for its kind only") {
+      const StoreProgress &Next = *World.Progress;
+      CHECK(Next.ReadUpTo > Quiet.ReadUpTo);
+      CHECK(Next.Changed.at(ObjectKind::Evacuations) == Next.ReadUpTo);
+      CHECK(Next.Changed.at(ObjectKind::Targets) ==
+            Quiet.Changed.at(ObjectKind::Targets));
+    }
+  }
+  GIVEN("a store that was restored") {
+    World.Store.copy();
+    World.Store.put("config", "main", {{"version", 8}});
+    REQUIRE(World.runUntil([&] { return World.version() == 8; }, 5 * Second));
+    World.Store.restore();
+    WHEN("another reader has read the new era") {
+      StoreProgress Told = Quiet;
+      ++Told.ReadUpTo.Era;
+      World.Reader->noteProgress(Told);
+      THEN("this one lists everything again") {
+        CHECK(World.runUntil([&] { return World.version() == 7; }, 5 * Second));
+      }
+    }
+  }
+}
