Discovery: pass on entries that only this node knows already

Cause: a node that reads the store drops changed entries that say nothing new, since the entry of a cold target changes with each heartbeat. It compared them with all that it knows of the target, also from answers and health pages. An entry "draining" of a target that had said in an answer that it leaves was dropped, and reached neither the cache nor the followers, nor nodes that start later. So did the entry of a target that its health page had shown to be cold.

Evidence: FleetAgentTest runs three readers and a follower without requests. Before the change the follower goes on using the target, a node that starts later uses it, and the follower does not know that it is cold (3 of 25 assertions fail); now all hold, 4 runs of 4.

Change: Discovery keeps apart what the entry of a target last said (Statement), which is what the cache and the followers have, and compares entries with that only. Entries that say "ready" after "draining" are dropped as before.

Related paths, by reading: complete lists are never filtered; crash records, configurations, evacuations and moves have no such filter.

--- a/balsamyard/src/Process/Discovery.cpp
+++ b/balsamyard/src/Process/Discovery.cpp
@@ -134,14 +134,13 @@
   if (Found == this->Targets.end())
     return false;
   const Entry &Target = Found->second;
-  if (Target.ExpiresAt ||
-      (Announcement.Leaving && !Target.State->isDeparting()) ||
+  if (Target.ExpiresAt || (Announcement.Leaving && !Target.Announced.Leaving) ||
       !(Target.State->Info == this->localInfo(Announcement)))
     return false;
   if (Announcement.RemainingWarmup <= Duration::zero())
     return true;
   const Duration Difference =
-      Now + Announcement.RemainingWarmup - Target.State->coldUntil();
+      Now + Announcement.RemainingWarmup - Target.Announced.ColdUntil;
   return Difference <= WarmupTolerance && Difference >= -WarmupTolerance;
 }
 
@@ -189,6 +188,7 @@
     logEvent(LogLevel::Info, "target-announced-again",
              {{"target", Info.Id.Text}});
   }
+  Target.Announced.Leaving = Announcement.Leaving;
   if (Announcement.Leaving && Target.State->noteDeparture())
     logEvent(LogLevel::Info, "target-leaving",
              {{"target", Info.Id.Text}, {"source", "entry"}});
@@ -197,7 +197,8 @@
       logEvent(
           LogLevel::Info, "target-cold",
           {{"target", Info.Id.Text}, {"left", Announcement.RemainingWarmup}});
-    Target.State->setColdUntil(Now + Announcement.RemainingWarmup);
+    Target.Announced.ColdUntil = Now + Announcement.RemainingWarmup;
+    Target.State->setColdUntil(Target.Announced.ColdUntil);
   }
   this->updateAdminState(Target);
 }
--- a/balsamyard/src/Process/Discovery.h
+++ b/balsamyard/src/Process/Discovery.h
@@ -38,8 +38,10 @@
   /// off until the store would have removed the entry of a target that is gone.
   void announceRestored(const TargetAnnouncement &Announcement, TimePoint Now);
 
-  /// \returns whether \p Announcement says nothing new. The entry of a cold
-  /// target changes with each of its heartbeats, as its warm-up goes on.
+  /// \returns whether \p Announcement says nothing new compared with the
+  /// announcements before. What this process has learnt from the target itself
+  /// does not count, as other nodes may not know it. The entry of a cold target
+  /// changes with each of its heartbeats, as its warm-up goes on.
   bool isCurrent(const TargetAnnouncement &Announcement, TimePoint Now) const;
 
   /// \brief Starts the grace period of a target whose announcement was
@@ -130,8 +132,16 @@
   std::size_t targets() const { return this->Targets.size(); }
 
 private:
+  /// \brief What the entry of a target said when it last was passed on. The
+  /// state of the target may be ahead of it, by answers and health pages.
+  struct Statement {
+    bool Leaving = false;
+    TimePoint ColdUntil{};
+  };
+
   struct Entry {
     Ref<KnownTarget> State;
+    Statement Announced;
     std::optional<TimePoint> ExpiresAt; ///< Set while it is withdrawn.
   };
 
