Reader: keep the state of a watch until its expired timer has run

Cause: stop() freed the watches at once. The handler of a timer that had expired in that moment still ran, used the freed watch and made a call for it. A node stops reading the store when it finds a reader to follow, so this could crash it in operation; the review suspected it by reading. The timers of the check and of the probe had the same window: they would go on without a reader.

Change: stopped watches are freed by a handler that is queued behind those of their timers, which do nothing for a stopped watch.

--- a/balsamyard/src/Process/StoreReader.cpp
+++ b/balsamyard/src/Process/StoreReader.cpp
@@ -4,6 +4,7 @@
 #include "balsamyard/src/Core/Log.h"
 
 #include <algorithm>
+#include <asio/post.hpp>
 #include <random>
 #include <utility>
 
@@ -55,9 +56,15 @@
 void StoreReader::stop() {
   this->CheckTimer.cancel();
   this->Checking = false;
-  for (const std::unique_ptr<Feed> &Item : this->Feeds)
+  for (const std::unique_ptr<Feed> &Item : this->Feeds) {
+    Item->Stopped = true;
     Item->Channel.cancel();
-  this->Feeds.clear();
+    Item->Timer.cancel();
+  }
+  // Handlers of timers that have expired already still run. They precede this
+  // one.
+  if (!this->Feeds.empty())
+    asio::post(this->Context, [Former = std::exchange(this->Feeds, {})] {});
   this->ProbeChannel.cancel();
   this->ProbeTimer.cancel();
   this->Probe.abandon();
@@ -113,7 +120,7 @@
 void StoreReader::on(Feed &From, const StartFeedTimer &Output) {
   From.Timer.expires_after(Output.After);
   From.Timer.async_wait([this, &From](const asio::error_code &Cancelled) {
-    if (Cancelled)
+    if (Cancelled || From.Stopped)
       return;
     if (this->Probe.isLost())
       From.Waiting = true;
@@ -193,6 +200,8 @@
 }
 
 void StoreReader::check() {
+  if (this->Feeds.empty())
+    return;
   // While the store is lost, the probe asks it.
   if (this->Probe.isLost()) {
     this->scheduleCheck();
@@ -314,6 +323,8 @@
 }
 
 void StoreReader::probe() {
+  if (!this->Probe.isLost())
+    return;
   this->ProbeChannel.call(
       this->Adapter.StaleListCall(ObjectKind::Evacuations, {}),
       StoreChannel::CallTimeout,
--- a/balsamyard/src/Process/StoreReader.h
+++ b/balsamyard/src/Process/StoreReader.h
@@ -57,7 +57,7 @@
   /// \brief Starts to read. Kinds in \p Known are only watched for changes.
   void start(const ObjectCache &Known);
 
-  /// \brief Ends all calls.
+  /// \brief Ends all calls. No handler of this reader is called afterwards.
   void stop();
 
   /// \brief Applies reloaded settings: sends later calls to their store, and
@@ -91,6 +91,7 @@
     asio::steady_timer Timer;
     bool Listed = false;
     bool Waiting = false; ///< For an answer to the probe.
+    bool Stopped = false;
   };
 
   void handle(Feed &From, FeedInput Input);
--- a/tests/path/StoreReaderTest.cpp
+++ b/tests/path/StoreReaderTest.cpp
@@ -153,6 +153,28 @@
   }
 }
 
+// Guards against a reader that is stopped in the moment in which the pause of a
+// watch ends: the handler of the timer used the watch, which was freed.
+SCENARIO("a reader stops while the pause of a watch ends", "[reader]") {
+  ReaderWorld World;
+  World.Store.put("servers", "one", nlohmann::json::object());
+  REQUIRE(World.learns(ObjectKind::Targets, "one"));
+  const std::size_t Before = World.Store.calls();
+  // The timer expires while no handler runs, and its handler follows the stop.
+  std::this_thread::sleep_for(StoreReader::TargetWatchDelay +
+                              100 * Millisecond);
+  asio::post(World.Io, [&] { World.Reader->stop(); });
+  World.runUntil([] { return false; }, 500 * Millisecond);
+  THEN("it makes no call any more") { CHECK(World.Store.calls() == Before); }
+  AND_WHEN("it starts again") {
+    World.Reader->start(World.Known);
+    World.Store.put("servers", "two", nlohmann::json::object());
+    THEN("it learns of changes") {
+      CHECK(World.learns(ObjectKind::Targets, "two"));
+    }
+  }
+}
+
 // The platform charges each call.
 SCENARIO("a reader calls a store that does not change", "[reader]") {
   ReaderWorld World;
