Request: index the calls of a request by attempt

Cause: the calls of a request were appended in the order in which attempts were submitted and used by attempt number. An attempt whose turn at a limited target was taken by another thread is withdrawn before it is submitted, so all later attempts of the request had the call of another one, and the last number lay behind the end of the vector. Attempts that are moved before they are submitted have the same effect.

Change: the vector is indexed by attempt, with no call for attempts that were never submitted.

--- a/balsamyard/src/Request/RequestRun.cpp
+++ b/balsamyard/src/Request/RequestRun.cpp
@@ -163,7 +163,8 @@
   Run->Context.Counters.add("requests_abandoned_total",
                             Run->Context.ThreadLabel);
   for (const Ref<LinkCall> &Call : Run->Calls)
-    Run->Context.Channels.channelFor(*Call->Target).abort(*Call);
+    if (Call)
+      Run->Context.Channels.channelFor(*Call->Target).abort(*Call);
   Run->reportBroken();
   Run->release();
 }
@@ -174,7 +175,8 @@
   this->Released = true;
   this->Timer.cancel();
   for (const Ref<LinkCall> &Call : this->Calls)
-    Call->detach();
+    if (Call)
+      Call->detach();
   this->Caller->Attached = nullptr;
   this->Context.InFlight.fetch_sub(1, std::memory_order_relaxed);
   intrusive_ptr_release(this);
@@ -216,8 +218,9 @@
                                                  bool Sent) {
     Self->onEnd(Attempt, std::move(Result), Sent);
   };
-  // Attempts are submitted in index order, so Calls is indexed by AttemptIndex.
-  this->Calls.push_back(Call);
+  if (this->Calls.size() <= Effect.Attempt)
+    this->Calls.resize(Effect.Attempt + 1);
+  this->Calls[Effect.Attempt] = Call;
   this->Context.Channels.channelFor(*Call->Target).submit(Call);
 }
 
--- a/balsamyard/src/Request/RequestRun.h
+++ b/balsamyard/src/Request/RequestRun.h
@@ -102,7 +102,9 @@
   const std::string SharedHead;
   Scatter Decisions;
   asio::steady_timer Timer;
-  std::vector<Ref<LinkCall>> Calls; ///< By AttemptIndex.
+  /// By AttemptIndex. Null for attempts that were withdrawn before they were
+  /// submitted.
+  std::vector<Ref<LinkCall>> Calls;
   TimePoint Arrived;
   TimePoint WakeAt{};
   bool Released = false;
--- a/tests/path/FakeFleet.h
+++ b/tests/path/FakeFleet.h
@@ -90,14 +90,20 @@
 struct Truncating {};
 /// \brief Answers, and says in each answer that it leaves.
 struct Leaving {};
+/// \brief Answers after a delay, and names a limit of requests per second.
+struct Limiting {
+  const char *PerSecond;
+  Duration After{};
+};
 /// \brief Rejects the request and asks for a pause of this many seconds.
 struct Pausing {
   const char *Seconds;
 };
 
-using Behaviour = std::variant<WellBehaved, Silent, Late, DuplicateAnswer,
-                               MismatchedId, Refusing, Replaced, Failing,
-                               Crashing, Truncating, Leaving, Pausing>;
+using Behaviour =
+    std::variant<WellBehaved, Silent, Late, DuplicateAnswer, MismatchedId,
+                 Refusing, Replaced, Failing, Crashing, Truncating, Leaving,
+                 Limiting, Pausing>;
 
 /// \brief A target that speaks the platform's protocol.
 class FakeTarget {
@@ -127,6 +133,15 @@
            "\r\n\r\n" + this->Record;
   }
 
+  void answerAfter(Duration Time, const Ref<ServerConnection> &Peer,
+                   const std::string &Response) {
+    auto Timer = std::make_shared<asio::steady_timer>(this->Server.Io);
+    Timer->expires_after(Time);
+    Timer->async_wait([Peer, Timer, Response](const asio::error_code &) {
+      Peer->answer(Response, true);
+    });
+  }
+
   void onRequest(ServerConnection &Peer, const HttpRequest &Request) {
     if (Request.Target == "/health") {
       Peer.answer("HTTP/1.1 200 OK\r\nX-Balsamyard-Instance-Id: " + this->Id +
@@ -148,13 +163,8 @@
             },
             [](const Silent &) {},
             [&](const Late &Delayed) {
-              auto Timer =
-                  std::make_shared<asio::steady_timer>(this->Server.Io);
-              Timer->expires_after(Delayed.After);
-              Timer->async_wait(
-                  [this, Held, Timer, RequestId](const asio::error_code &) {
-                    Held->answer(this->successResponse(RequestId), true);
-                  });
+              this->answerAfter(Delayed.After, Held,
+                                this->successResponse(RequestId));
             },
             [&](const DuplicateAnswer &) {
               Held->answer(this->successResponse(RequestId) +
@@ -191,6 +201,13 @@
                   this->successResponse(RequestId, "Server-Leaving: 1\r\n"),
                   true);
             },
+            [&](const Limiting &Needy) {
+              this->answerAfter(
+                  Needy.After, Held,
+                  this->successResponse(
+                      RequestId, "Server-Limit: " +
+                                     std::string(Needy.PerSecond) + "\r\n"));
+            },
             [&](const Pausing &Busy) {
               Held->answer("HTTP/1.1 503 Busy\r\nX-Balsamyard-Not-Executed: 1"
                            "\r\nRetry-After: " +
--- a/tests/path/NodeTest.cpp
+++ b/tests/path/NodeTest.cpp
@@ -7,6 +7,7 @@
 
 #include <catch2/catch.hpp>
 #include <csignal>
+#include <deque>
 #include <unistd.h>
 
 using namespace balsamyard;
@@ -246,6 +247,41 @@
   }
 }
 
+// Guards against a crash of the node: when the turn at a limited target was
+// taken between the choice of the target and the claim of the turn, the calls
+// of all later attempts of the request were taken for those of others. Two
+// threads take turns from each other; so do two shards with the same target.
+SCENARIO("the turn at a limited target is taken by another attempt", "[node]") {
+  PlatformWorld World;
+  World.add("s1", "i-1a", record('a'), Limiting{"200", Duration::zero()});
+  World.add("s1", "i-1b", record('b'), Limiting{"200", 60 * Millisecond});
+  World.add("s1", "i-1c", record('c'), Limiting{"200", 150 * Millisecond});
+  World.add("s2", "i-2a", record('d'), Late{60 * Millisecond});
+  World.add("s2", "i-2b", record('e'), WellBehaved{});
+  World.addRoute("/search/", {{"gather", {"s1", "s1", "s1", "s2"}},
+                              {"topK", 2},
+                              {"minCoverage", 0.25},
+                              {"targetLatencyMs", 100}});
+  World.start();
+  std::deque<FakeCaller> Callers;
+  for (int Count = 0; Count < 4; ++Count)
+    Callers.emplace_back(World.Process->callerPort());
+  THEN("every request is answered") {
+    std::size_t Successes = 0;
+    for (int Round = 0; Round < 60; ++Round) {
+      for (std::size_t Index = 0; Index < Callers.size(); ++Index)
+        Callers[Index].send(get("/search/x", "id-" + std::to_string(Round) +
+                                                 "-" + std::to_string(Index)));
+      for (FakeCaller &Caller : Callers) {
+        const int Status = Caller.receive().Status;
+        REQUIRE((Status == 200 || Status == 503));
+        Successes += Status == 200 ? 1 : 0;
+      }
+    }
+    CHECK(Successes > 0);
+  }
+}
+
 SCENARIO("a node serves requests of one service", "[node]") {
   PlatformWorld World;
   World.addRoute("/records/",
