Platform: read a list with one entry that is not valid text

Cause: a document that the JSON parser rejects is repaired and parsed again, but the repair let through what only looks like UTF-8 (surrogates, overlong forms, values above U+10FFFF), and looked at neither escapes (a lone surrogate, an unknown escape) nor control characters. The whole list or watch answer counted as a failed call, again and again.

Valid text stays as it is.

--- a/tests/path/PlatformTest.cpp
+++ b/tests/path/PlatformTest.cpp
@@ -354,7 +354,7 @@
 
 // Guards against readers that end, or stop following the list of targets,
 // because of one odd entry.
-SCENARIO("an entry holds a number that is out of range", "[platform]") {
+SCENARIO("an entry holds a number or text that is not valid", "[platform]") {
   const json Valid = {{"service", "records"},
                       {"address", "10.1.0.9:7001"},
                       {"zone", "east"},
@@ -405,6 +405,42 @@
           "records:80", ":80", "[::1]:80", "10.1.0.9:80 "})
       CHECK_FALSE(Read(Entry("address", json(Address).dump())));
   }
+  GIVEN("a text that is not valid") {
+    const std::vector<std::string> Invalid = {
+        // Not UTF-8: stray and missing bytes, surrogates, overlong forms, and
+        // values above U+10FFFF.
+        "\x80", "\xc3", "\xe2\x82", "\xff", "\xed\xa0\x80", "\xed\xbf\xbf",
+        "\xc0\xaf", "\xe0\x80\xaf", "\xf0\x80\x80\xaf", "\xf4\x90\x80\x80",
+        "\xf5\x80\x80\x80",
+        // Escapes: surrogates without the other half, and unknown ones.
+        "\\ud800", "\\udc00", "\\ud800x", "\\ud800\\u0041", "\\ud800\\ud800",
+        "\\udc00\\ud800", "\\u12", "\\uzzzz", "\\x41", "\\u-123",
+        // Control characters.
+        std::string("\0", 1), "\n", "\x1f"};
+    for (const std::string &Value : Invalid) {
+      INFO(json(Value).dump(-1, ' ', true, json::error_handler_t::replace));
+      const auto Text = Read(Entry("service", "\"odd" + Value + "\""));
+      REQUIRE(Text);
+      CHECK(Text->Info.Service.Text.starts_with("odd?"));
+      // In the field that the others need, and at the end of the text.
+      CHECK_FALSE(Read(Entry("address", "\"" + Value + "\"")));
+    }
+  }
+  GIVEN("a valid text in a list that has to be repaired") {
+    json Named = Valid;
+    Named["extra"] = "@";
+    std::string Text = Named.dump();
+    Text.replace(Text.find("\"@\""), 3, "\"\\ud800\"");
+    Text.replace(
+        Text.find("\"v1\""), 4,
+        "\"\xc3\xa9\xed\x9f\xbf\xf0\x9f\x98\x80\\ud83d\\ude00\\u00e9\\n\"");
+    const auto Repaired = Read(Text);
+    THEN("it is not changed") {
+      REQUIRE(Repaired);
+      CHECK(Repaired->Info.Version.Text ==
+            "\xc3\xa9\xed\x9f\xbf\xf0\x9f\x98\x80\xf0\x9f\x98\x80\xc3\xa9\n");
+    }
+  }
   GIVEN("texts that look like such numbers") {
     json Named = Valid;
     Named["version"] = "v\"1e400";
