Reader: derive the interval of the checks from the bounds

The interval was 1.2 s at most whatever the bounds. With a drain time and a configuration time of 5 or 6 s, as in the larger deployments, it may be 2 or 2.4 s: a lost answer (0.4 of the time) and the grace period of a removed entry (0.8 s at most), or the time for which a configuration is held back (0.4), still fit the bound. The shorter of both bounds counts.

--- a/balsamyard/src/Process/DepartureTimes.h
+++ b/balsamyard/src/Process/DepartureTimes.h
@@ -31,12 +31,11 @@
   Duration RemovalGrace;
 
   explicit DepartureTimes(Duration DrainTime)
-      : CheckInterval(std::min(MaxCheckInterval, part(DrainTime, CheckPart))),
+      : CheckInterval(part(DrainTime, CheckPart)),
         ReadPause(std::min(MaxReadPause, part(DrainTime, ReadPart))),
         RemovalGrace(std::min(MaxRemovalGrace, part(DrainTime, GracePart))) {}
 
 private:
-  static constexpr Duration MaxCheckInterval = std::chrono::milliseconds(1200);
   static constexpr Duration MaxReadPause = std::chrono::milliseconds(900);
   static constexpr Duration MaxRemovalGrace = std::chrono::milliseconds(800);
   static constexpr double CheckPart = 0.4;
--- a/balsamyard/src/Process/StoreReader.cpp
+++ b/balsamyard/src/Process/StoreReader.cpp
@@ -15,6 +15,12 @@
 /// Checks are spread over this part of their interval.
 constexpr int CheckSpreadDivisor = 4;
 
+/// A lost answer may hold a configuration as well as a departure.
+Duration checkInterval(const FleetBounds &Bounds) {
+  return DepartureTimes(std::min(Bounds.DrainTime, Bounds.ConfigurationTime))
+      .CheckInterval;
+}
+
 Duration watchDelay(ObjectKind Kind) {
   return Kind == ObjectKind::Targets ? StoreReader::TargetWatchDelay
                                      : Duration::zero();
@@ -31,7 +37,8 @@
                          const NodeSettings &Settings,
                          const PlatformAdapter &Adapter, Handlers Events)
     : Context(Context), Store(Settings.Store),
-      Departure(Settings.Bounds.DrainTime), Adapter(Adapter),
+      Departure(Settings.Bounds.DrainTime),
+      CheckInterval(checkInterval(Settings.Bounds)), Adapter(Adapter),
       Events(std::move(Events)), Probe(std::random_device()()),
       ProbeChannel(Context, Settings.Store), ProbeTimer(Context),
       CheckTimer(Context), Random(std::random_device()()) {}
@@ -72,6 +79,7 @@
 
 void StoreReader::reload(const NodeSettings &Next) {
   this->Departure = DepartureTimes(Next.Bounds.DrainTime);
+  this->CheckInterval = checkInterval(Next.Bounds);
   this->Store = Next.Store;
   this->ProbeChannel.setStore(this->Store);
   for (const std::unique_ptr<Feed> &Item : this->Feeds)
@@ -188,11 +196,11 @@
   this->Checking = false;
   // The reader whose time comes first checks the store; the others are told
   // before their time has come.
-  const Duration Interval = this->Departure.CheckInterval;
-  const Duration Spread = Interval / CheckSpreadDivisor;
+  const Duration Spread = this->CheckInterval / CheckSpreadDivisor;
   this->CheckTimer.expires_after(
-      Interval - Duration(this->Random.below(
-                     static_cast<std::uint32_t>(Spread.count()) + 1)));
+      this->CheckInterval -
+      Duration(
+          this->Random.below(static_cast<std::uint32_t>(Spread.count()) + 1)));
   this->CheckTimer.async_wait([this](const asio::error_code &Cancelled) {
     if (!Cancelled)
       this->check();
--- a/balsamyard/src/Process/StoreReader.h
+++ b/balsamyard/src/Process/StoreReader.h
@@ -131,6 +131,7 @@
   asio::io_context &Context;
   Endpoint Store;
   DepartureTimes Departure;
+  Duration CheckInterval;
   const PlatformAdapter &Adapter;
   const Handlers Events;
   std::vector<std::unique_ptr<Feed>> Feeds; ///< Empty while not reading.
