Soak: lost answers of the store, followers, and targets that say they leave

Change: the settings name a port for other nodes. Answers are lost, a node gets no requests for a while, and half of the leaving targets say so before their entry does; these faults have a generator of their own, so that former seeds keep their sequence. After the recovery, without other faults, one answer about a configuration and one about a departure are lost, and the usual checks apply.

--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -22,4 +22,6 @@
 for SEED in 1 15; do
   "$BUILD/bin/balsamyard-soak" --program "$BUILD/bin/balsamyard-node" --seed "$SEED" --seconds 6
 done
+# Five nodes, of which two follow others.
+"$BUILD/bin/balsamyard-soak" --program "$BUILD/bin/balsamyard-node" --seed 31 --nodes 5 --seconds 15
 ctest --test-dir "$BUILD" --output-on-failure -E '^balsamyard-(path-)?tests$' --no-tests=ignore
--- a/tests/soak/NodeProcess.cpp
+++ b/tests/soak/NodeProcess.cpp
@@ -29,6 +29,8 @@
        << "listen:\n  front: \"" << this->Options.Address << ":" << CallerPort
        << "\"\n  readinessAddr: \"" << this->Options.Address << ":"
        << ReadinessPort << "\"\n"
+       << "ip: \"" << this->Options.Address << "\"\ninternalPorts:\n  - "
+       << PeerPort << "\n"
        << "limits:\n  cores: 2\n"
        << "bounds:\n  drainMs: 3000\n  graceS: 6\n  retryBudgetRatio: 0.2\n"
        << "  retryWindowS: 10\n  retryBudgetSlack: "
--- a/tests/soak/NodeProcess.h
+++ b/tests/soak/NodeProcess.h
@@ -23,6 +23,7 @@
 public:
   static constexpr std::uint16_t CallerPort = 8104;
   static constexpr std::uint16_t ReadinessPort = 8108;
+  static constexpr std::uint16_t PeerPort = 7380;
 
   /// Time between the stop signal and the kill by the platform.
   static constexpr Duration GraceTime = std::chrono::seconds(6);
--- a/tests/soak/SoakRun.cpp
+++ b/tests/soak/SoakRun.cpp
@@ -62,7 +62,7 @@
 
 SoakRun::SoakRun(SoakOptions Options)
     : Options(std::move(Options)), Random(this->Options.Seed),
-      StartedAt(steadyNow()) {
+      HiddenRandom(this->Options.Seed + 1), StartedAt(steadyNow()) {
   const std::string StoreAddress = this->Store.address();
   const asio::ip::tcp::endpoint StorePort(
       asio::ip::make_address("127.0.0.1"),
@@ -550,6 +550,11 @@
   if (!Record.Target->isRunning() || Record.Target->LeavingSince)
     return;
   this->trace("drain " + Record.Target->id());
+  if (this->HiddenRandom() % 2 == 0) {
+    // Nodes with requests know it before its entry says so.
+    Record.Target->SaysLeaving = true;
+    this->runFor(std::chrono::milliseconds(30));
+  }
   this->announce(Record, "draining");
   Record.Target->LeavingSince = steadyNow();
   Record.ChangeAt = steadyNow() + DrainTime + this->randomDuration(200, 1500);
@@ -625,8 +630,41 @@
   }
 }
 
+void SoakRun::startHiddenFault() {
+  switch (this->HiddenRandom() % 4) {
+  case 0:
+    this->loseStoreAnswer();
+    return;
+  case 1:
+    this->chooseQuietNode();
+    return;
+  default:
+    return;
+  }
+}
+
+void SoakRun::loseStoreAnswer() {
+  constexpr std::array Kinds = {"config", "servers", "evacuations"};
+  const char *Kind = Kinds[this->HiddenRandom() % Kinds.size()];
+  this->trace(std::string("lose the next answer about ") + Kind);
+  this->Store.loseNextAnswer(Kind);
+}
+
+void SoakRun::chooseQuietNode() {
+  this->QuietNode.reset();
+  // One of the nodes that follow others, if there are any.
+  if (this->Nodes.size() > 1 && this->HiddenRandom() % 4 != 0)
+    this->QuietNode =
+        this->Nodes.size() - 1 -
+        this->HiddenRandom() % std::min<std::size_t>(this->Nodes.size() - 1, 2);
+  this->trace(this->QuietNode
+                  ? "quiet " + this->Nodes[*this->QuietNode].Process->name()
+                  : "no quiet node");
+}
+
 void SoakRun::endFaults() {
   this->trace("heal");
+  this->QuietNode.reset();
   if (this->EvacuatedSince)
     this->toggleEvacuation();
   for (NodeRecord &Node : this->Nodes) {
@@ -653,6 +691,35 @@
   return false;
 }
 
+void SoakRun::checkLostAnswers() {
+  this->trace("lost answers");
+  constexpr Duration Margin = std::chrono::seconds(1);
+  this->QuietNode = this->Nodes.size() - 1;
+  this->runFor(ContactTime + Margin);
+  this->Store.loseNextAnswer("config");
+  this->changeConfig();
+  this->runFor(ConfigTime + Margin);
+  const auto Leaving =
+      std::find_if(this->Targets.begin(), this->Targets.end(),
+                   [](const TargetRecord &Record) {
+                     return Record.Target->isRunning() &&
+                            !Record.Target->LeavingSince &&
+                            Record.Target->service() == "lookup";
+                   });
+  if (Leaving == this->Targets.end())
+    return;
+  // All nodes with requests know the departure before its entry says so.
+  Leaving->Target->SaysLeaving = true;
+  this->runFor(std::chrono::milliseconds(200));
+  this->Store.loseNextAnswer("servers");
+  this->announce(*Leaving, "draining");
+  Leaving->Target->LeavingSince = steadyNow();
+  this->runFor(DrainTime + std::chrono::milliseconds(200));
+  this->QuietNode.reset();
+  this->runFor(Margin);
+  Leaving->ChangeAt = steadyNow();
+}
+
 void SoakRun::checkRequestLimits() {
   constexpr double Limit = 5;
   constexpr Duration Window = std::chrono::seconds(4);
@@ -695,7 +762,11 @@
     this->runFor(std::chrono::milliseconds(50));
   for (std::size_t Index = 0; Index < this->Options.Callers; ++Index) {
     CallerHooks Hooks;
-    Hooks.ChooseNode = [this] { return this->Random() % this->Nodes.size(); };
+    Hooks.ChooseNode = [this] {
+      const std::size_t Chosen = this->Random() % this->Nodes.size();
+      return this->QuietNode == Chosen ? (Chosen + 1) % this->Nodes.size()
+                                       : Chosen;
+    };
     Hooks.AddressOf = [this](std::size_t Node) {
       return this->Nodes[Node].Process->callers();
     };
@@ -709,11 +780,13 @@
   const TimePoint End = steadyNow() + this->Options.FaultTime;
   while (steadyNow() < End) {
     this->startRandomFault();
+    this->startHiddenFault();
     this->runFor(this->randomDuration(100, 1100));
   }
   this->endFaults();
   if (!this->recover())
     this->violation("requests do not succeed within the recovery time");
+  this->checkLostAnswers();
   this->checkRequestLimits();
   return this->Observed.violations();
 }
--- a/tests/soak/SoakRun.h
+++ b/tests/soak/SoakRun.h
@@ -76,6 +76,12 @@
   void changeConfig();
   void toggleEvacuation();
 
+  // Faults that are drawn from a generator of their own, so that seeds that
+  // found faults before keep their sequence.
+  void startHiddenFault();
+  void loseStoreAnswer();
+  void chooseQuietNode();
+
   void startRandomFault();
   void tick();
   void tickNode(NodeRecord &Node);
@@ -83,6 +89,7 @@
   void checkNodeExit(NodeRecord &Node);
   void endFaults();
   bool recover();
+  void checkLostAnswers();
   void checkRequestLimits();
   bool allReady();
   void announce(TargetRecord &Record, const char *State);
@@ -108,6 +115,7 @@
 
   const SoakOptions Options;
   std::mt19937 Random;
+  std::mt19937 HiddenRandom; ///< \sa startHiddenFault
   asio::io_context Io;
   Ledger Observed;
   test::FakeStore Store;
@@ -118,6 +126,7 @@
   std::optional<TimePoint> EvacuatedSince;
   TimePoint EvacuationChangeAt{};
   TimePoint StartedAt;
+  std::optional<std::size_t> QuietNode; ///< Gets no requests.
   int Requests = 0;
   bool Finished = false; ///< Answers during the teardown are not checked.
   std::size_t SuccessesInARow = 0;
--- a/tests/soak/SoakTarget.cpp
+++ b/tests/soak/SoakTarget.cpp
@@ -55,6 +55,7 @@
   this->Id = this->Name + "-" + std::to_string(++this->Starts);
   this->State = TargetHealthy{};
   this->LeavingSince.reset();
+  this->SaysLeaving = false;
   this->Link = std::make_unique<Proxy>(
       this->Io, asio::ip::tcp::endpoint(asio::ip::make_address("127.0.0.1"),
                                         this->Server.port()));
@@ -97,6 +98,8 @@
   std::string Fields = "X-Balsamyard-Attempt-Id: " + RequestId +
                        "\r\nX-Balsamyard-Server-Stamp: " + this->Service + "/" +
                        RequestId + "\r\n";
+  if (this->SaysLeaving)
+    Fields += "Server-Leaving: 1\r\n";
   if (const auto *Limited = std::get_if<TargetLimited>(&this->State)) {
     Fields += "Server-Limit: " + std::to_string(Limited->PerSecond) + "\r\n";
     this->LimitedArrivals.push_back(steadyNow());
--- a/tests/soak/SoakTarget.h
+++ b/tests/soak/SoakTarget.h
@@ -56,6 +56,9 @@
   const std::string &service() const { return this->Service; }
   std::string address() const;
 
+  /// Says in its answers that it leaves.
+  bool SaysLeaving = false;
+
   /// When the store accepted the announcement that the target leaves.
   std::optional<TimePoint> LeavingSince;
 
