--- a/balsamyard/src/Process/StoreReader.h
+++ b/balsamyard/src/Process/StoreReader.h
@@ -60,8 +60,9 @@
   /// \brief Ends all calls. No handler of this reader is called afterwards.
   void stop();
 
-  /// \brief Applies reloaded settings: sends later calls to their store, and
-  /// uses their bounds from the next start() on.
+  /// \brief Applies reloaded settings: sends later calls to their store,
+  /// uses their bounds for the next check, and for watches from the next
+  /// start() on.
   void reload(const NodeSettings &Next);
 
   /// \brief Handles the news that the store is in \p Era. If it is a new one,
--- a/tests/path/StoreReaderTest.cpp
+++ b/tests/path/StoreReaderTest.cpp
@@ -133,7 +133,7 @@
           CHECK(World.learns(Item.Kind, "lost"));
         }
       }
-      WHEN("the store is restored from a copy that lacks the change") {
+      WHEN("the store is restored from a copy that lacks a later change") {
         World.Store.copy();
         World.Store.put(Item.Path, "after copy", nlohmann::json::object());
         World.Store.restore();
