--- a/tests/path/FakeFleet.h
+++ b/tests/path/FakeFleet.h
@@ -99,17 +99,23 @@
 struct Pausing {
   const char *Seconds;
 };
+/// \brief Sends these bytes and keeps the connection open or closes it. "{id}"
+/// stands for the id of the request.
+struct RawAnswer {
+  std::string Bytes;
+  bool KeepOpen = true;
+};
 
 using Behaviour =
     std::variant<WellBehaved, Silent, Late, DuplicateAnswer, MismatchedId,
                  Refusing, Replaced, Failing, Crashing, Truncating, Leaving,
-                 Limiting, Pausing>;
+                 Limiting, Pausing, RawAnswer>;
 
 /// \brief A target that speaks the platform's protocol.
 class FakeTarget {
 public:
   FakeTarget(std::string Id, std::string Record, Behaviour Acts)
-      : Id(std::move(Id)), Record(std::move(Record)), Acts(Acts),
+      : Id(std::move(Id)), Record(std::move(Record)), Acts(std::move(Acts)),
         Server([this](ServerConnection &Peer, const HttpRequest &Request) {
           this->onRequest(Peer, Request);
         }) {}
@@ -214,6 +220,14 @@
                                std::string(Busy.Seconds) +
                                "\r\nContent-Length: 0\r\n\r\n",
                            true);
+            },
+            [&](const RawAnswer &Raw) {
+              std::string Bytes = Raw.Bytes;
+              const std::string_view Id = "{id}";
+              if (const std::size_t At = Bytes.find(Id);
+                  At != std::string::npos)
+                Bytes.replace(At, Id.size(), RequestId);
+              Held->answer(std::move(Bytes), Raw.KeepOpen);
             }},
         this->Acts);
   }
