Parser: reject responses whose status is none

A target in trouble answered with a status of 000.

Cause: http-parser accepts every number below 1000 (it stops at 1000 only), and nothing looked at what it let through. It also takes a 101 for an interim response, though no request asks for another protocol.

The response parser now rejects a status outside of 100 to 599, as RFC 9110, section 15, defines it, and 101. All answers that are read go through it: targets, health checks and the store each have a case in the test. The request fails like one whose answer was cut, so the caller gets another target's answer or 502.

--- a/balsamyard/src/Connection/HttpParser.cpp
+++ b/balsamyard/src/Connection/HttpParser.cpp
@@ -75,6 +75,18 @@
   });
 }
 
+/// \returns why the status is none of a response, empty if it is one.
+std::string_view statusFault(int Status) {
+  constexpr int MinStatus = 100;
+  constexpr int MaxStatus = 599;
+  constexpr int SwitchingProtocols = 101;
+  if (Status < MinStatus || Status > MaxStatus)
+    return "the status is not valid";
+  if (Status == SwitchingProtocols)
+    return "the protocol was switched without a request for it";
+  return {};
+}
+
 int onMessageBegin(http_parser *Parser) {
   collector(Parser).Started = true;
   return 0;
@@ -119,6 +131,12 @@
       Self.fault(400, "a header field has forbidden characters");
       return -1;
     }
+  if (Parser->type == HTTP_RESPONSE)
+    if (const std::string_view Fault = statusFault(Parser->status_code);
+        !Fault.empty()) {
+      Self.fault(400, Fault);
+      return -1;
+    }
   if (Self.Fields.count("content-length") > 1 ||
       (Self.Fields.find("content-length") != nullptr &&
        Self.Fields.find("transfer-encoding") != nullptr)) {
--- /dev/null
+++ b/tests/path/BrokenAnswerTest.cpp
@@ -0,0 +1,208 @@
+#include "balsamyard/src/Connection/HttpLink.h"
+#include "balsamyard/src/Connection/StoreChannel.h"
+#include "balsamyard/src/Connection/TargetChannel.h"
+#include "tests/path/PlatformWorld.h"
+
+#include <catch2/catch.hpp>
+#include <optional>
+
+using namespace balsamyard;
+using namespace balsamyard::test;
+
+namespace {
+
+/// \brief Bytes of a target in trouble.
+struct BrokenAnswer {
+  const char *Name;
+  std::string Bytes;
+  bool KeepOpen = true;
+};
+
+/// Fields that make a success valid, without its status line and length.
+const std::string ValidFields =
+    "X-Balsamyard-Attempt-Id: {id}\r\nX-Balsamyard-Server-Stamp: stamp\r\n";
+
+std::string withStatusLine(const std::string &StatusLine) {
+  return StatusLine + "\r\n" + ValidFields + "Content-Length: 4\r\n\r\nbody";
+}
+
+/// \returns a success whose head has \p Lines in front of its last field.
+std::string withLines(const std::string &Lines) {
+  return "HTTP/1.1 200 OK\r\n" + ValidFields + Lines +
+         "Content-Length: 4\r\n\r\nbody";
+}
+
+std::vector<BrokenAnswer> invalidStatuses() {
+  return {{"a status of 000", withStatusLine("HTTP/1.1 000 Nothing")},
+          {"a status of 000 without a reason", withStatusLine("HTTP/1.1 000")},
+          {"a status below 100", withStatusLine("HTTP/1.1 099 Low")},
+          {"a status above 599", withStatusLine("HTTP/1.1 600 High")},
+          {"a status of 999", withStatusLine("HTTP/1.1 999 High")},
+          {"a switch of protocols, which was not asked for",
+           "HTTP/1.1 101 Switching Protocols\r\n\r\n" +
+               withStatusLine("HTTP/1.1 200 OK")}};
+}
+
+/// \brief Broken answers of one kind.
+struct Trouble {
+  const char *Name;
+  std::vector<BrokenAnswer> Answers;
+};
+
+std::vector<Trouble> allTroubles() { return {{"statuses", invalidStatuses()}}; }
+
+/// \brief A node with a route and a target for each of some answers.
+struct AnsweringWorld : PlatformWorld {
+  explicit AnsweringWorld(const std::vector<BrokenAnswer> &Answers) {
+    for (std::size_t At = 0; At < Answers.size(); ++At) {
+      const std::string Service = "s" + std::to_string(At);
+      this->add(Service, "i-" + std::to_string(At), "",
+                RawAnswer{Answers[At].Bytes, Answers[At].KeepOpen});
+      this->addRoute(path(At), {{"service", Service}});
+    }
+    this->start();
+  }
+
+  static std::string path(std::size_t At) {
+    return "/get/" + std::to_string(At) + "/";
+  }
+
+  /// \brief Sends a request to the target of the answer \p At.
+  HttpResponse ask(std::size_t At) {
+    FakeCaller Caller = this->caller();
+    return Caller.ask(get(path(At)));
+  }
+};
+
+} // namespace
+
+// Guards against bytes that are no HTTP/1.1 response and reach a caller as an
+// answer, or as a part of one.
+SCENARIO("a broken answer of a target does not reach the caller", "[broken]") {
+  for (const auto &[Name, Answers] : allTroubles())
+    GIVEN("targets that send broken " + std::string(Name)) {
+      AnsweringWorld World(Answers);
+      for (std::size_t At = 0; At < Answers.size(); ++At) {
+        INFO(Answers[At].Name);
+        const HttpResponse Answer = World.ask(At);
+        // The failure is the node's own.
+        CHECK(Answer.Status == 502);
+        CHECK(field(Answer, "X-Balsamyard-Server-Stamp").empty());
+      }
+    }
+}
+
+// Guards against checks that depend on how the network splits the bytes.
+SCENARIO("a broken answer is malformed whatever pieces it arrives in",
+         "[broken]") {
+  for (const auto &[Name, Answers] : allTroubles())
+    GIVEN("broken " + std::string(Name)) {
+      for (const BrokenAnswer &Broken : Answers)
+        for (const std::size_t Piece :
+             {std::size_t(1), std::size_t(3), Broken.Bytes.size()}) {
+          INFO(Broken.Name << " in pieces of " << Piece);
+          ResponseParser Reader;
+          Reader.begin(true);
+          HttpProgress Progress = HttpIncomplete{};
+          std::string_view Rest = Broken.Bytes;
+          while (!Rest.empty() &&
+                 std::holds_alternative<HttpIncomplete>(Progress)) {
+            Progress = Reader.read(Rest.substr(0, Piece)).Progress;
+            Rest.remove_prefix(std::min(Piece, Rest.size()));
+          }
+          if (std::holds_alternative<HttpIncomplete>(Progress))
+            Progress = Reader.end();
+          CHECK(std::holds_alternative<HttpMalformed>(Progress));
+        }
+    }
+}
+
+// Guards against checks that reject what targets may send.
+SCENARIO("an unusual but valid answer reaches the caller unchanged",
+         "[broken]") {
+  const std::string Ok = "HTTP/1.1 200 OK\r\n" + ValidFields;
+  const std::vector<BrokenAnswer> Answers = {
+      {"no reason", withStatusLine("HTTP/1.1 200")},
+      {"an empty reason", withStatusLine("HTTP/1.1 200 ")},
+      {"bytes above 0x7f in the reason",
+       withStatusLine("HTTP/1.1 200 \xc3\xa9t\xc3\xa9")},
+      {"a later minor version", withStatusLine("HTTP/1.2 200 OK")},
+      {"an interim response first", "HTTP/1.1 103 Hints\r\nLink: x\r\n\r\n" +
+                                        withStatusLine("HTTP/1.1 200 OK")},
+      {"HTTP/1.0", withStatusLine("HTTP/1.0 200 OK"), false},
+      {"a body up to the end of the connection", Ok + "\r\nbody", false},
+      {"a body in chunks", Ok + "Transfer-Encoding: Chunked \r\n\r\n"
+                                "2\r\nbo\r\n02 ;a=\"b c\"\r\ndy\r\n0\r\n"
+                                "X-Trailer: t\r\n\r\n"},
+      {"a field without a value, and one with blanks and tabs",
+       withLines("X-Empty:\r\nX-Blank: \t a \t b \t\r\n")},
+      {"every byte that a name may have",
+       withLines("!#$%&'*+-.^_`|~09azAZ: a\r\n")}};
+  GIVEN("targets that send such answers") {
+    AnsweringWorld World(Answers);
+    for (std::size_t At = 0; At < Answers.size(); ++At) {
+      INFO(Answers[At].Name);
+      const HttpResponse Answer = World.ask(At);
+      CHECK(Answer.Status == 200);
+      CHECK(Answer.Body == "body");
+      CHECK(field(Answer, "X-Balsamyard-Server-Stamp") == "stamp");
+    }
+  }
+}
+
+// Guards against a target that counts as reached by an answer that is none.
+SCENARIO("a broken answer to a health check does not reach a target",
+         "[broken]") {
+  GIVEN("a target whose health page has a status of 000") {
+    const FakeServer Server([](ServerConnection &Peer, const HttpRequest &) {
+      Peer.answer("HTTP/1.1 000 Nothing\r\nX-Balsamyard-Instance-Id: i-1\r\n"
+                  "Content-Length: 0\r\n\r\n",
+                  true);
+    });
+    asio::io_context Io;
+    const TargetProtocol Protocol(platform::makeAdapter().Headers);
+    TargetInfo Info;
+    Info.Id.Text = "i-1";
+    Info.Address = Server.endpoint();
+    const auto Target = makeRef<KnownTarget>(Info);
+    const auto Channel = makeRef<TargetChannel>(Io, Target, Protocol);
+    Channel->configure({1, 0}, "/health");
+    WHEN("it is checked") {
+      Target->setReach(Reach::Suspect);
+      const TimePoint GiveUp = steadyNow() + 5 * Second;
+      while (Target->reach() == Reach::Suspect && steadyNow() < GiveUp) {
+        Channel->tick(steadyNow());
+        Io.run_one_for(std::chrono::milliseconds(10));
+      }
+      THEN("it counts as unreachable") {
+        CHECK(Target->reach() == Reach::Down);
+      }
+    }
+    Channel->retire();
+  }
+}
+
+// Guards against objects of the store that are read from an answer that is
+// none.
+SCENARIO("a broken answer of the store is an error", "[broken]") {
+  for (const char *Bytes :
+       {"HTTP/1.1 000 Nothing\r\nContent-Length: 2\r\n\r\n{}"})
+    GIVEN("a store that sends " + std::string(Bytes)) {
+      const FakeServer Server(
+          [Bytes](ServerConnection &Peer, const HttpRequest &) {
+            Peer.answer(Bytes, false);
+          });
+      asio::io_context Io;
+      StoreChannel Channel(Io, Server.endpoint());
+      std::optional<bool> Succeeded;
+      Channel.call("GET /objects/config HTTP/1.1\r\nHost: a\r\n\r\n",
+                   StoreChannel::CallTimeout,
+                   [&](const Expected<HttpResponse> &Result) {
+                     Succeeded = Result.has_value();
+                   });
+      while (!Succeeded)
+        Io.run_one_for(std::chrono::milliseconds(10));
+      THEN("the call fails") { CHECK_FALSE(*Succeeded); }
+      Channel.cancel();
+    }
+}
--- a/tests/path/FakeFleet.h
+++ b/tests/path/FakeFleet.h
@@ -52,9 +52,9 @@
       this->Thread.join();
   }
 
-  std::string address() const {
-    return "127.0.0.1:" + std::to_string(this->Server.port());
-  }
+  Endpoint endpoint() const { return {"127.0.0.1", this->Server.port()}; }
+
+  std::string address() const { return toText(this->endpoint()); }
 
   asio::io_context Io;
   std::atomic<int> Gone{0}; ///< Peers that disconnected before their answer.
