Parser: check the bytes of the head of a response

A target in trouble sent a head with lines that are no fields. A name with a blank or a control byte inside was rejected before; those cases are kept in the test.

Cause: http-parser, as Debian builds it, joins a line that begins with a blank to the one before, takes any byte for the LF behind some CRs, a single LF for a line end, and reads any version. What it let through was taken for valid; only names and values were looked at, after it had split the bytes into fields.

SectionSyntax reads the head before http-parser does and accepts what RFC 9112 allows: the status line with or without a reason, fields of token and text bytes, each line with CR LF. http-parser gets the head up to its empty line and must find the end at the same byte. A single LF, which the RFC leaves to the recipient, is rejected: two readers of the same bytes must agree on their meaning. A pending body no longer fails together with an offer to upgrade the protocol, which made the result depend on how the bytes were split.

--- a/balsamyard/src/Connection/HttpParser.cpp
+++ b/balsamyard/src/Connection/HttpParser.cpp
@@ -1,17 +1,29 @@
 #include "balsamyard/src/Connection/HttpParser.h"
 
+#include "balsamyard/src/Connection/HttpSyntax.h"
+#include "balsamyard/src/Core/Overload.h"
+
 #include <algorithm>
 #include <climits>
 #include <http_parser.h>
+#include <optional>
 #include <utility>
 
 namespace balsamyard {
 
 namespace {
 
+/// Bytes that only http-parser checks, up to the end of the message.
+struct BodyBytes {};
+
+/// What the next bytes of a message belong to.
+using MessagePart = std::variant<SectionSyntax, BodyBytes>;
+
 /// Message that the callbacks of http-parser build, for requests and responses.
 struct Collector {
   http_parser Parser{};
+  MessagePart Part = BodyBytes{};
+  std::optional<MessagePart> NextPart; ///< Set when http-parser ends a section.
   HttpLimits Limits;
   std::string RequestTarget;
   HttpFields Fields;
@@ -30,6 +42,9 @@
   void reset(http_parser_type Type) {
     http_parser_init(&this->Parser, Type);
     this->Parser.data = this;
+    this->Part = BodyBytes{};
+    if (Type == HTTP_RESPONSE)
+      this->Part = SectionSyntax(StatusLine());
     this->RequestTarget.clear();
     this->Fields = {};
     this->Body.clear();
@@ -41,6 +56,7 @@
     this->MessageComplete = false;
     this->InTrailer = false;
     this->Fault = {};
+    this->NextPart.reset();
   }
 
   int fault(int Status, std::string_view Reason) {
@@ -60,6 +76,18 @@
   return *static_cast<Collector *>(Parser->data);
 }
 
+/// \returns why the status is none of a response, empty if it is one.
+std::string_view statusFault(int Status) {
+  constexpr int MinStatus = 100;
+  constexpr int MaxStatus = 599;
+  constexpr int SwitchingProtocols = 101;
+  if (Status < MinStatus || Status > MaxStatus)
+    return "the status is not valid";
+  if (Status == SwitchingProtocols)
+    return "the protocol was switched without a request for it";
+  return {};
+}
+
 bool isToken(std::string_view Text) {
   constexpr std::string_view Marks = "!#$%&'*+-.^_`|~";
   return std::all_of(Text.begin(), Text.end(), [&](char C) {
@@ -75,15 +103,13 @@
   });
 }
 
-/// \returns why the status is none of a response, empty if it is one.
-std::string_view statusFault(int Status) {
-  constexpr int MinStatus = 100;
-  constexpr int MaxStatus = 599;
-  constexpr int SwitchingProtocols = 101;
-  if (Status < MinStatus || Status > MaxStatus)
-    return "the status is not valid";
-  if (Status == SwitchingProtocols)
-    return "the protocol was switched without a request for it";
+/// \returns why the end of the message is not certain, empty if it is.
+std::string_view framingFault(const Collector &Self) {
+  const std::string *Length = Self.Fields.find("content-length");
+  const std::string *Coding = Self.Fields.find("transfer-encoding");
+  if (Self.Fields.count("content-length") > 1 ||
+      (Length != nullptr && Coding != nullptr))
+    return "the length of the body is ambiguous";
   return {};
 }
 
@@ -131,16 +157,11 @@
       Self.fault(400, "a header field has forbidden characters");
       return -1;
     }
-  if (Parser->type == HTTP_RESPONSE)
-    if (const std::string_view Fault = statusFault(Parser->status_code);
-        !Fault.empty()) {
-      Self.fault(400, Fault);
-      return -1;
-    }
-  if (Self.Fields.count("content-length") > 1 ||
-      (Self.Fields.find("content-length") != nullptr &&
-       Self.Fields.find("transfer-encoding") != nullptr)) {
-    Self.fault(400, "the length of the body is ambiguous");
+  std::string_view Fault = framingFault(Self);
+  if (Fault.empty() && Parser->type == HTTP_RESPONSE)
+    Fault = statusFault(Parser->status_code);
+  if (!Fault.empty()) {
+    Self.fault(400, Fault);
     return -1;
   }
   if (Parser->content_length != ULLONG_MAX &&
@@ -149,6 +170,7 @@
     return -1;
   }
   Self.ExpectContinue = Self.Fields.hasListElement("expect", "100-continue");
+  Self.NextPart = BodyBytes{};
   return Self.BodyExpected ? 0 : 1;
 }
 
@@ -183,9 +205,8 @@
   return Settings;
 }
 
-HttpStep run(Collector &Self, std::string_view Bytes) {
-  if (Self.MessageComplete)
-    return {0, HttpComplete{}};
+/// Passes \p Bytes to http-parser.
+HttpStep parse(Collector &Self, std::string_view Bytes) {
   const std::size_t Used = http_parser_execute(&Self.Parser, &callbacks(),
                                                Bytes.data(), Bytes.size());
   const auto Problem = static_cast<http_errno>(HTTP_PARSER_ERRNO(&Self.Parser));
@@ -197,11 +218,49 @@
     return {Used, HttpMalformed{431, "the header section is too large"}};
   if (Problem != HPE_OK)
     return {Used, HttpMalformed{400, http_errno_description(Problem)}};
-  if (Self.Parser.upgrade != 0)
-    return {Used, HttpMalformed{400, "protocol upgrades are not supported"}};
   return {Used, HttpIncomplete{}};
 }
 
+HttpStep readPart(Collector &Self, SectionSyntax &Section,
+                  std::string_view Bytes) {
+  const SectionStep Check = Section.read(Bytes);
+  if (const auto *Fault = std::get_if<SectionMalformed>(&Check.Progress))
+    return {Check.Length, HttpMalformed{400, Fault->Reason}};
+  const HttpStep Step = parse(Self, Bytes.substr(0, Check.Length));
+  if (std::holds_alternative<HttpMalformed>(Step.Progress))
+    return Step;
+  const bool Ends = std::holds_alternative<SectionComplete>(Check.Progress);
+  const bool ParserEnds = Self.MessageComplete || Self.NextPart;
+  if (Step.Consumed != Check.Length || Ends != ParserEnds)
+    return {Step.Consumed,
+            HttpMalformed{400, "the end of a section is ambiguous"}};
+  return Step;
+}
+
+HttpStep readPart(Collector &Self, BodyBytes & /*Body*/,
+                  std::string_view Bytes) {
+  return parse(Self, Bytes);
+}
+
+HttpStep run(Collector &Self, std::string_view Bytes) {
+  if (Self.MessageComplete)
+    return {0, HttpComplete{}};
+  HttpStep Total;
+  while (Total.Consumed < Bytes.size() &&
+         std::holds_alternative<HttpIncomplete>(Total.Progress)) {
+    const HttpStep Step = std::visit(
+        [&](auto &Part) {
+          return readPart(Self, Part, Bytes.substr(Total.Consumed));
+        },
+        Self.Part);
+    if (Self.NextPart)
+      Self.Part = *std::exchange(Self.NextPart, std::nullopt);
+    Total.Consumed += Step.Consumed;
+    Total.Progress = Step.Progress;
+  }
+  return Total;
+}
+
 } // namespace
 
 struct RequestParser::Impl : Collector {};
@@ -282,7 +341,7 @@
 HttpProgress ResponseParser::end() {
   Collector &Self = *this->Implementation;
   if (!Self.MessageComplete && Self.HeadersComplete)
-    run(Self, {});
+    parse(Self, {});
   if (Self.MessageComplete)
     return HttpComplete{};
   return HttpMalformed{502, "the connection ended within a response"};
--- a/tests/path/BrokenAnswerTest.cpp
+++ b/tests/path/BrokenAnswerTest.cpp
@@ -43,13 +43,66 @@
                withStatusLine("HTTP/1.1 200 OK")}};
 }
 
+std::vector<BrokenAnswer> brokenStatusLines() {
+  return {{"a status of one digit", withStatusLine("HTTP/1.1 2 OK")},
+          {"a status of two digits", withStatusLine("HTTP/1.1 20 OK")},
+          {"a status of four digits", withStatusLine("HTTP/1.1 0200 OK")},
+          {"two blanks before the status", withStatusLine("HTTP/1.1  200 OK")},
+          {"another major version", withStatusLine("HTTP/9.9 200 OK")},
+          {"an older major version", withStatusLine("HTTP/0.9 200 OK")},
+          {"a NUL in the reason",
+           withStatusLine(std::string("HTTP/1.1 200 O\0K", 16))},
+          {"a CR in the reason", withStatusLine("HTTP/1.1 404 Not\rX")},
+          {"an LF without CR behind the reason",
+           "HTTP/1.1 200 OK\n" + ValidFields + "Content-Length: 4\r\n\r\nbody"},
+          {"an empty line before the status line",
+           "\r\n" + withStatusLine("HTTP/1.1 200 OK")}};
+}
+
+std::vector<BrokenAnswer> brokenFieldLines() {
+  std::vector<BrokenAnswer> Result = {
+      {"a folded field", withLines("X-Field: a\r\n b\r\n")},
+      {"a folded receipt", "HTTP/1.1 200 OK\r\n" + ValidFields +
+                               "\tmore\r\nContent-Length: 4\r\n\r\nbody"},
+      {"a folded line without text", withLines("X-Field: a\r\n \r\n")},
+      {"a field whose name begins with a CR", withLines("\rX-Field: a\r\n")},
+      {"a failure with a field whose name begins with a CR",
+       "HTTP/1.1 404 No\r\nX-Balsamyard-Attempt-Id: {id}\r\n\rX-Field: a\r\n"
+       "Content-Length: 4\r\n\r\nbody"},
+      {"a CR without LF in a value", withLines("X-Field: a\rb\r\n")},
+      {"a CR without LF behind a value",
+       withLines("X-Field: a\rX-Next: b\r\n")},
+      {"an LF without CR behind a value", withLines("X-Field: a\n")},
+      {"an empty line without CR", withLines("X-Field: a\r\n\nX-Field: a\r\n")},
+      {"an empty line without LF", withLines("X-Field: a\r\n\rX")},
+      {"a field without a colon", withLines("X-Field\r\n")},
+      {"a field without a name", withLines(": a\r\n")}};
+  for (const char Byte :
+       {'\0', '\1', '\t', ' ', '\x1f', '"', '(', '/', '\x7f', '\x80', '\xff'}) {
+    const std::string Text(1, Byte);
+    Result.push_back({"a forbidden byte in the name of a field",
+                      withLines("X-Fi" + Text + "eld: a\r\n")});
+    Result.push_back({"a forbidden byte behind the name of a field",
+                      withLines("X-Field" + Text + ": a\r\n")});
+  }
+  for (const char Byte : {'\0', '\1', '\b', '\x1f', '\x7f'})
+    Result.push_back(
+        {"a forbidden byte in the value of a field",
+         withLines("X-Field: a" + std::string(1, Byte) + "b\r\n")});
+  return Result;
+}
+
 /// \brief Broken answers of one kind.
 struct Trouble {
   const char *Name;
   std::vector<BrokenAnswer> Answers;
 };
 
-std::vector<Trouble> allTroubles() { return {{"statuses", invalidStatuses()}}; }
+std::vector<Trouble> allTroubles() {
+  return {{"statuses", invalidStatuses()},
+          {"status lines", brokenStatusLines()},
+          {"lines of the head", brokenFieldLines()}};
+}
 
 /// \brief A node with a route and a target for each of some answers.
 struct AnsweringWorld : PlatformWorld {
@@ -186,7 +239,8 @@
 // none.
 SCENARIO("a broken answer of the store is an error", "[broken]") {
   for (const char *Bytes :
-       {"HTTP/1.1 000 Nothing\r\nContent-Length: 2\r\n\r\n{}"})
+       {"HTTP/1.1 000 Nothing\r\nContent-Length: 2\r\n\r\n{}",
+        "HTTP/1.1 200 OK\r\nX-Field: a\r\n\rX-Next: b\r\n\r\n{}"})
     GIVEN("a store that sends " + std::string(Bytes)) {
       const FakeServer Server(
           [Bytes](ServerConnection &Peer, const HttpRequest &) {
