Parser: check the lines between the chunks of a body

A target in trouble sent a body in chunks with a CR without LF behind the size of a chunk, a chunk or the last chunk, with text behind a size, or with a trailer that is no field. Callers got a success. A caller could send a request of the same kind with a second request behind it, and the node ran both.

Cause: as for heads. http-parser, as Debian builds it, takes any byte for the LF behind these CRs and skips what stands behind a size; trailer fields were dropped unseen.

SectionSyntax now also reads the line of a chunk's size, the line end behind a chunk, and the trailer fields. The bytes of a chunk go to http-parser unread.

--- a/balsamyard/src/Connection/HttpParser.cpp
+++ b/balsamyard/src/Connection/HttpParser.cpp
@@ -13,8 +13,10 @@
 
 namespace {
 
-/// The bytes behind the head, up to the end of the message.
-struct BodyBytes {};
+/// Bytes of a body: the rest of a chunk, or all up to the end of the message.
+struct BodyBytes {
+  std::optional<std::uint64_t> Left;
+};
 
 /// What the next bytes of a message belong to.
 using MessagePart = std::variant<SectionSyntax, BodyBytes>;
@@ -148,10 +150,27 @@
     return -1;
   }
   Self.ExpectContinue = Self.Fields.hasListElement("expect", "100-continue");
-  Self.NextPart = BodyBytes{};
+  if ((Parser->flags & F_CHUNKED) != 0)
+    Self.NextPart = SectionSyntax(ChunkSizeLine());
+  else
+    Self.NextPart = BodyBytes{};
   return Self.BodyExpected ? 0 : 1;
 }
 
+int onChunkHeader(http_parser *Parser) {
+  Collector &Self = collector(Parser);
+  if (Parser->content_length > 0)
+    Self.NextPart = BodyBytes{Parser->content_length};
+  else
+    Self.NextPart = SectionSyntax(FieldLine());
+  return 0;
+}
+
+int onChunkComplete(http_parser *Parser) {
+  collector(Parser).NextPart = SectionSyntax(ChunkSizeLine());
+  return 0;
+}
+
 int onBody(http_parser *Parser, const char *At, std::size_t Length) {
   Collector &Self = collector(Parser);
   if (Self.Body.size() + Length > Self.Limits.BodyBytes)
@@ -176,6 +195,8 @@
     Result.on_header_field = onHeaderField;
     Result.on_header_value = onHeaderValue;
     Result.on_headers_complete = onHeadersComplete;
+    Result.on_chunk_header = onChunkHeader;
+    Result.on_chunk_complete = onChunkComplete;
     Result.on_body = onBody;
     Result.on_message_complete = onMessageComplete;
     return Result;
@@ -215,9 +236,14 @@
   return Step;
 }
 
-HttpStep readPart(Collector &Self, BodyBytes & /*Body*/,
-                  std::string_view Bytes) {
-  return parse(Self, Bytes);
+HttpStep readPart(Collector &Self, BodyBytes &Body, std::string_view Bytes) {
+  if (!Body.Left)
+    return parse(Self, Bytes);
+  const HttpStep Step = parse(Self, Bytes.substr(0, *Body.Left));
+  *Body.Left -= Step.Consumed;
+  if (*Body.Left == 0)
+    Self.NextPart = SectionSyntax(ChunkEndLine());
+  return Step;
 }
 
 HttpStep run(Collector &Self, std::string_view Bytes) {
--- a/balsamyard/src/Connection/HttpSyntax.cpp
+++ b/balsamyard/src/Connection/HttpSyntax.cpp
@@ -12,6 +12,13 @@
 
 bool isDigit(char Byte) { return Byte >= '0' && Byte <= '9'; }
 
+bool isBlank(char Byte) { return Byte == ' ' || Byte == '\t'; }
+
+bool isHexDigit(char Byte) {
+  return isDigit(Byte) || (Byte >= 'a' && Byte <= 'f') ||
+         (Byte >= 'A' && Byte <= 'F');
+}
+
 /// \returns a table of the bytes that a name may consist of.
 constexpr std::array<bool, 256> makeTokenTable() {
   std::array<bool, 256> Table{};
@@ -64,7 +71,8 @@
                },
                [](const FieldLine &Field) {
                  return Field.isEmpty() ? Next() : Next(FieldLine());
-               }},
+               },
+               [](const auto &) { return Next(); }},
       Line);
 }
 
@@ -104,6 +112,18 @@
   return isToken(Byte);
 }
 
+bool ChunkSizeLine::accept(char Byte) {
+  if (this->InExtension)
+    return isText(Byte);
+  if (isHexDigit(Byte) && !this->AfterDigits) {
+    this->HasDigits = true;
+    return true;
+  }
+  this->AfterDigits = true;
+  this->InExtension = Byte == ';';
+  return this->HasDigits && (this->InExtension || isBlank(Byte));
+}
+
 SectionStep SectionSyntax::read(std::string_view Bytes) {
   SectionStep Step;
   while (Step.Length < Bytes.size()) {
--- a/balsamyard/src/Connection/HttpSyntax.h
+++ b/balsamyard/src/Connection/HttpSyntax.h
@@ -48,7 +48,31 @@
   bool InValue = false;
 };
 
-using HttpLine = std::variant<StatusLine, RequestLine, FieldLine>;
+/// \brief The line in front of a chunk: "1a2b", or "1a2b;name=value".
+class ChunkSizeLine {
+public:
+  static constexpr std::string_view Fault = "the size of a chunk is malformed";
+
+  bool accept(char Byte);
+  bool isComplete() const { return this->HasDigits; }
+
+private:
+  bool HasDigits = false;
+  bool AfterDigits = false;
+  bool InExtension = false;
+};
+
+/// \brief The line end behind the bytes of a chunk.
+class ChunkEndLine {
+public:
+  static constexpr std::string_view Fault = "a chunk has the wrong size";
+
+  bool accept(char /*Byte*/) { return false; }
+  bool isComplete() const { return true; }
+};
+
+using HttpLine = std::variant<StatusLine, RequestLine, FieldLine, ChunkSizeLine,
+                              ChunkEndLine>;
 
 /// \brief The section goes on.
 struct SectionIncomplete {};
@@ -70,7 +94,8 @@
   SectionProgress Progress;
 };
 
-/// \brief Checks the lines of the head of an HTTP/1.1 message.
+/// \brief Checks one section of lines of an HTTP/1.1 message: its head, the
+/// size or the end of a chunk, or the trailer fields.
 ///
 /// http-parser accepts lines that another reader of the same bytes takes
 /// differently: it folds fields, takes any byte for the LF behind some CRs, and
--- a/tests/path/BrokenAnswerTest.cpp
+++ b/tests/path/BrokenAnswerTest.cpp
@@ -92,6 +92,46 @@
   return Result;
 }
 
+/// \returns a success in chunks with \p Chunks as its body.
+std::string withChunks(const std::string &Chunks) {
+  return "HTTP/1.1 200 OK\r\n" + ValidFields +
+         "Transfer-Encoding: chunked\r\n\r\n" + Chunks;
+}
+
+std::vector<BrokenAnswer> brokenChunks() {
+  return {
+      {"a CR without LF behind the size of a chunk",
+       withChunks("4\rXbody\r\n0\r\n\r\n")},
+      {"an LF without CR behind the size of a chunk",
+       withChunks("4\nbody\r\n0\r\n\r\n")},
+      {"text behind the size of a chunk",
+       withChunks("4 x\r\nbody\r\n0\r\n\r\n")},
+      {"a size with a sign", withChunks("+4\r\nbody\r\n0\r\n\r\n")},
+      {"a size with a prefix", withChunks("0x4\r\nbody\r\n0\r\n\r\n")},
+      {"no size", withChunks("\r\nbody\r\n0\r\n\r\n")},
+      {"a size above 64 bits",
+       withChunks("10000000000000004\r\nbody\r\n0\r\n\r\n")},
+      {"a control byte in the extension of a chunk",
+       withChunks("4;a=\1\r\nbody\r\n0\r\n\r\n")},
+      {"a CR without LF in the extension of a chunk",
+       withChunks("4;a\rb\r\nbody\r\n0\r\n\r\n")},
+      {"a CR without LF behind a chunk", withChunks("4\r\nbody\rX0\r\n\r\n")},
+      {"an LF without CR behind a chunk", withChunks("4\r\nbody\n0\r\n\r\n")},
+      {"a chunk that is longer than its size",
+       withChunks("3\r\nbody\r\n0\r\n\r\n")},
+      {"a CR without LF behind the last chunk",
+       withChunks("4\r\nbody\r\n0\rX\r\n")},
+      {"a CR without LF at the end", withChunks("4\r\nbody\r\n0\r\n\rX")},
+      {"a blank in the name of a trailer field",
+       withChunks("4\r\nbody\r\n0\r\nX Field: a\r\n\r\n")},
+      {"a folded trailer field",
+       withChunks("4\r\nbody\r\n0\r\nX-Field: a\r\n b\r\n\r\n")},
+      {"a trailer field whose name begins with a CR",
+       withChunks("4\r\nbody\r\n0\r\nX-Field: a\r\n\rX-Next: b\r\n\r\n")},
+      {"a control byte in a trailer field",
+       withChunks("4\r\nbody\r\n0\r\nX-Field: \1\r\n\r\n")}};
+}
+
 /// \brief Broken answers of one kind.
 struct Trouble {
   const char *Name;
@@ -101,7 +141,8 @@
 std::vector<Trouble> allTroubles() {
   return {{"statuses", invalidStatuses()},
           {"status lines", brokenStatusLines()},
-          {"lines of the head", brokenFieldLines()}};
+          {"lines of the head", brokenFieldLines()},
+          {"chunks", brokenChunks()}};
 }
 
 /// \brief A node with a route and a target for each of some answers.
--- a/tests/path/SmuggledRequestTest.cpp
+++ b/tests/path/SmuggledRequestTest.cpp
@@ -52,7 +52,18 @@
                 Inner},
            {"an empty length", post("Content-Length:\r\n\r\n" + Inner)},
            {"an unknown transfer coding",
-            post("Transfer-Encoding: xyz\r\n\r\n" + Inner)}})
+            post("Transfer-Encoding: xyz\r\n\r\n" + Inner)},
+           {"a CR without LF behind a chunk",
+            post("Transfer-Encoding: chunked\r\n\r\n1\r\na\rX0\r\n\r\n" +
+                 Inner)},
+           {"a CR without LF behind the last chunk",
+            post("Transfer-Encoding: chunked\r\n\r\n0\r\n\rX" + Inner)},
+           {"a CR without LF in an extension",
+            post("Transfer-Encoding: chunked\r\n\r\n1;\rX\r\na\r\n0\r\n\r\n" +
+                 Inner)},
+           {"an LF without CR behind the size of a chunk",
+            post("Transfer-Encoding: chunked\r\n\r\n1\na\r\n0\r\n\r\n" +
+                 Inner)}})
     WHEN("it has " + Name) {
       FakeCaller Caller = World.caller();
       const HttpResponse Answer = Caller.ask(Bytes);
