Parser: reject transfer codings other than chunked

A target in trouble answered with a transfer coding that the node does not undo. Callers got a success whose body was still coded, or read up to the end of the connection.

Cause: http-parser looks for chunked in the list and reads on without it; the field was not looked at otherwise, and isHopByHop drops it from what is passed on. The same holds for requests, whose body would have reached a target coded.

The only value now is "chunked", once. No request of the node asks for another coding, so RFC 9112, section 6.1, does not allow one in an answer.

Measured: `balsamyard-path-tests [broken],[smuggling]`, x86-64. Before: 29 of 529 assertions failed; 6 of 12 forms got through, in one of them (chunks in chunks) only for some splits of the bytes. After: all pass, and those of [http], [endless] and [node].

--- a/balsamyard/src/Connection/HttpParser.cpp
+++ b/balsamyard/src/Connection/HttpParser.cpp
@@ -94,8 +94,12 @@
   const std::string *Length = Self.Fields.find("content-length");
   const std::string *Coding = Self.Fields.find("transfer-encoding");
   if (Self.Fields.count("content-length") > 1 ||
+      Self.Fields.count("transfer-encoding") > 1 ||
       (Length != nullptr && Coding != nullptr))
     return "the length of the body is ambiguous";
+  if (Coding != nullptr && ((Self.Parser.flags & F_CHUNKED) == 0 ||
+                            !sameHeaderName(trimmed(*Coding), "chunked")))
+    return "the transfer coding is not supported";
   return {};
 }
 
--- a/balsamyard/src/Core/Http.cpp
+++ b/balsamyard/src/Core/Http.cpp
@@ -11,13 +11,6 @@
   return C >= 'A' && C <= 'Z' ? static_cast<char>(C - 'A' + 'a') : C;
 }
 
-std::string_view trimmed(std::string_view Text) {
-  const std::size_t First = Text.find_first_not_of(" \t");
-  if (First == std::string_view::npos)
-    return {};
-  return Text.substr(First, Text.find_last_not_of(" \t") - First + 1);
-}
-
 /// \returns whether \p Predicate is true for an element of a comma-separated
 /// list.
 template <typename Function>
@@ -35,6 +28,13 @@
 
 } // namespace
 
+std::string_view trimmed(std::string_view Text) {
+  const std::size_t First = Text.find_first_not_of(" \t");
+  if (First == std::string_view::npos)
+    return {};
+  return Text.substr(First, Text.find_last_not_of(" \t") - First + 1);
+}
+
 bool sameHeaderName(std::string_view Left, std::string_view Right) {
   return Left.size() == Right.size() &&
          std::equal(Left.begin(), Left.end(), Right.begin(),
--- a/balsamyard/src/Core/Http.h
+++ b/balsamyard/src/Core/Http.h
@@ -16,6 +16,9 @@
 /// \returns whether two header names are equal, ignoring case.
 bool sameHeaderName(std::string_view Left, std::string_view Right);
 
+/// \returns \p Text without the blanks and tabs at its ends.
+std::string_view trimmed(std::string_view Text);
+
 /// \brief Header fields in the order of their receipt.
 class HttpFields {
 public:
--- a/tests/path/BrokenAnswerTest.cpp
+++ b/tests/path/BrokenAnswerTest.cpp
@@ -132,6 +132,31 @@
        withChunks("4\r\nbody\r\n0\r\nX-Field: \1\r\n\r\n")}};
 }
 
+std::vector<BrokenAnswer> brokenLengths() {
+  const std::string Ok = "HTTP/1.1 200 OK\r\n" + ValidFields;
+  return {
+      {"an unknown transfer coding", Ok + "Transfer-Encoding: xyz\r\n\r\nbody",
+       false},
+      {"a transfer coding that was not asked for",
+       Ok + "Transfer-Encoding: gzip, chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"},
+      {"a transfer coding in front of the chunks",
+       Ok + "Transfer-Encoding: chunked, gzip\r\n\r\nbody", false},
+      {"chunks in chunks", Ok + "Transfer-Encoding: chunked, chunked\r\n\r\n"
+                                "4\r\nbody\r\n0\r\n\r\n"},
+      {"two transfer codings",
+       Ok + "Transfer-Encoding: xyz\r\nTransfer-Encoding: chunked\r\n\r\n"
+            "4\r\nbody\r\n0\r\n\r\n"},
+      {"an empty transfer coding", Ok + "Transfer-Encoding:\r\n\r\nbody",
+       false},
+      {"an empty length", Ok + "Content-Length:\r\n\r\nbody", false},
+      {"a negative length", Ok + "Content-Length: -4\r\n\r\nbody", false},
+      {"a length with a sign", Ok + "Content-Length: +4\r\n\r\nbody"},
+      {"a list of lengths", Ok + "Content-Length: 4, 4\r\n\r\nbody"},
+      {"a length of two numbers", Ok + "Content-Length: 4 4\r\n\r\nbody"},
+      {"a length above 64 bits",
+       Ok + "Content-Length: 18446744073709551620\r\n\r\nbody"}};
+}
+
 /// \brief Broken answers of one kind.
 struct Trouble {
   const char *Name;
@@ -142,7 +167,8 @@
   return {{"statuses", invalidStatuses()},
           {"status lines", brokenStatusLines()},
           {"lines of the head", brokenFieldLines()},
-          {"chunks", brokenChunks()}};
+          {"chunks", brokenChunks()},
+          {"lengths", brokenLengths()}};
 }
 
 /// \brief A node with a route and a target for each of some answers.
