Parser: no body behind a status that has none

A target in trouble sent 204 or 304 with a body, or an interim response with a length. The caller of a 204 or 304 got bytes behind the head, which are no answer on its connection; bytes of an interim response's body could hide the answer itself.

Cause: http-parser reads a body wherever a length is stated, but RFC 9110, sections 8.6 and 15.4.5, allows none behind these statuses, and a caller reads none.

1xx and 204 that state a body are malformed now. A 304 may state the length of the body that it does not have, so its head ends it; bytes behind it are unsolicited and end the connection to the target.

--- a/balsamyard/src/Connection/HttpParser.cpp
+++ b/balsamyard/src/Connection/HttpParser.cpp
@@ -89,6 +89,12 @@
   return {};
 }
 
+/// \returns whether a head with this status must not state a length above 0.
+bool forbidsLength(int Status) {
+  constexpr int NoContent = 204;
+  return Status / 100 == 1 || Status == NoContent;
+}
+
 /// \returns why the end of the message is not certain, empty if it is.
 std::string_view framingFault(const Collector &Self) {
   const std::string *Length = Self.Fields.find("content-length");
@@ -103,6 +109,19 @@
   return {};
 }
 
+/// \returns why the head of a response is malformed, empty if it is not.
+std::string_view responseFault(const Collector &Self) {
+  const int Status = Self.Parser.status_code;
+  if (const std::string_view Fault = statusFault(Status); !Fault.empty())
+    return Fault;
+  const std::uint64_t Length = Self.Parser.content_length;
+  const bool StatesLength = (Self.Parser.flags & F_CHUNKED) != 0 ||
+                            (Length != 0 && Length != ULLONG_MAX);
+  if (StatesLength && forbidsLength(Status))
+    return "a response that has no body states a length";
+  return {};
+}
+
 int onMessageBegin(http_parser *Parser) {
   collector(Parser).Started = true;
   return 0;
@@ -143,7 +162,7 @@
   Self.KeepAlive = http_should_keep_alive(Parser) != 0;
   std::string_view Fault = framingFault(Self);
   if (Fault.empty() && Parser->type == HTTP_RESPONSE)
-    Fault = statusFault(Parser->status_code);
+    Fault = responseFault(Self);
   if (!Fault.empty()) {
     Self.fault(400, Fault);
     return -1;
@@ -158,7 +177,11 @@
     Self.NextPart = SectionSyntax(ChunkSizeLine());
   else
     Self.NextPart = BodyBytes{};
-  return Self.BodyExpected ? 0 : 1;
+  // The length of a 304 is that of the body which it does not have.
+  constexpr unsigned NotModified = 304;
+  const bool HasBody =
+      Parser->type == HTTP_REQUEST || Parser->status_code != NotModified;
+  return Self.BodyExpected && HasBody ? 0 : 1;
 }
 
 int onChunkHeader(http_parser *Parser) {
--- a/tests/path/BrokenAnswerTest.cpp
+++ b/tests/path/BrokenAnswerTest.cpp
@@ -157,6 +157,20 @@
        Ok + "Content-Length: 18446744073709551620\r\n\r\nbody"}};
 }
 
+std::vector<BrokenAnswer> bodiesWithoutRoom() {
+  const std::string Fields = ValidFields + "Content-Length: 4\r\n\r\nbody";
+  const std::string Final = withStatusLine("HTTP/1.1 200 OK");
+  return {{"an interim response with a length",
+           "HTTP/1.1 103 Hints\r\nContent-Length: 4\r\n\r\nbody" + Final},
+          {"an interim response in chunks",
+           "HTTP/1.1 103 Hints\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" +
+               Final},
+          {"204 with a body", "HTTP/1.1 204 No Content\r\n" + Fields},
+          {"204 in chunks",
+           "HTTP/1.1 204 No Content\r\n" + ValidFields +
+               "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"}};
+}
+
 /// \brief Broken answers of one kind.
 struct Trouble {
   const char *Name;
@@ -168,7 +182,8 @@
           {"status lines", brokenStatusLines()},
           {"lines of the head", brokenFieldLines()},
           {"chunks", brokenChunks()},
-          {"lengths", brokenLengths()}};
+          {"lengths", brokenLengths()},
+          {"bodies where none is allowed", bodiesWithoutRoom()}};
 }
 
 /// \brief A node with a route and a target for each of some answers.
@@ -270,6 +285,22 @@
   }
 }
 
+// Guards against bytes behind an answer that has no body, which the caller
+// would take for the next answer.
+SCENARIO("the body of an answer that may not have one is dropped", "[broken]") {
+  GIVEN("a target that sends 304 with a body") {
+    AnsweringWorld World(
+        {{"304 with a body", "HTTP/1.1 304 Not Modified\r\n" + ValidFields +
+                                 "Content-Length: 4\r\n\r\nbody"}});
+    FakeCaller Caller = World.caller();
+    for (int Count = 0; Count < 2; ++Count) {
+      const HttpResponse Answer = Caller.ask(get("/get/0/"));
+      CHECK(Answer.Status == 304);
+      CHECK(Answer.Body.empty());
+    }
+  }
+}
+
 // Guards against a target that counts as reached by an answer that is none.
 SCENARIO("a broken answer to a health check does not reach a target",
          "[broken]") {
