Target: a malformed answer is no crash of its target

Targets that live and send broken answers counted as crashed, so the request was refused with 503 by all nodes for ten minutes, also where other targets of the service would have served it.

Cause: any failed call whose connection was the last one of its thread counted as the loss of the target, which is the evidence for a crash. But a malformed answer ends the connection from this side.

It now only makes the target suspect, so its health page decides whether it is used on. The new log line target-answer-malformed names what was wrong.

--- a/balsamyard/src/Connection/TargetChannel.cpp
+++ b/balsamyard/src/Connection/TargetChannel.cpp
@@ -9,6 +9,14 @@
 
 namespace balsamyard {
 
+namespace {
+
+bool isMalformed(const Expected<HttpResponse> &Result) {
+  return !Result && Result.error().Value == Code::TargetMalformed;
+}
+
+} // namespace
+
 TargetChannel::TargetChannel(asio::io_context &Context, Ref<KnownTarget> Target,
                              const TargetProtocol &Protocol)
     : Context(Context), Target(std::move(Target)), Protocol(Protocol),
@@ -158,6 +166,11 @@
 void TargetChannel::observe(LinkCall &Call,
                             const Expected<HttpResponse> &Result,
                             TimePoint Now) {
+  if (isMalformed(Result))
+    logEvent(LogLevel::Warning, "target-answer-malformed",
+             {{"target", this->Target->Info.Id.Text},
+              {"service", this->Target->Info.Service.Text},
+              {"detail", Result.error().Detail}});
   if (!Result) {
     this->Target->observeFailure(Now);
     return;
@@ -235,13 +248,17 @@
   if (Result && Result->Status == MisdirectedStatus)
     this->suspect();
   const bool Alive = Entry->Link->isOpen();
-  const bool Broken = !Result;
+  // A malformed answer ends the connection from this side: its target lives.
+  const bool Malformed = isMalformed(Result);
+  const bool Broken = !Result && !Malformed;
   if (!Alive) {
     this->remove(*Entry);
     if (Broken)
       this->RequestBrokenAt = steadyNow();
     if (Broken && this->openLinks() == 0)
       this->onAllLinksLost();
+    else if (Malformed && this->openLinks() == 0)
+      this->suspect();
   }
   this->endCall(*Call, std::move(Result));
   this->dispatch();
--- a/tests/path/BrokenAnswerTest.cpp
+++ b/tests/path/BrokenAnswerTest.cpp
@@ -227,6 +227,33 @@
     }
 }
 
+// Guards against a request that is refused because it seems to crash targets,
+// although they live and only answer badly.
+SCENARIO("targets that send broken answers do not count as crashed",
+         "[broken]") {
+  GIVEN("a service whose targets send a status of 000") {
+    PlatformWorld World;
+    const std::string Broken = withStatusLine("HTTP/1.1 000 Nothing");
+    for (const char *Id : {"i-1", "i-2", "i-3", "i-4"})
+      World.add("s1", Id, "", RawAnswer{Broken});
+    World.addRoute("/get/", {{"service", "s1"}});
+    World.start();
+    FakeCaller Caller = World.caller();
+    WHEN("the same request is sent again and again") {
+      std::vector<int> Statuses;
+      for (int Count = 0; Count < 8; ++Count) {
+        Statuses.push_back(
+            Caller.ask(get("/get/x", "id-" + std::to_string(Count))).Status);
+        // The time after which a crash is confirmed.
+        ::usleep(300'000);
+      }
+      THEN("it is never refused") {
+        CHECK(Statuses == std::vector<int>(8, 502));
+      }
+    }
+  }
+}
+
 // Guards against checks that depend on how the network splits the bytes.
 SCENARIO("a broken answer is malformed whatever pieces it arrives in",
          "[broken]") {
