Node: bound the memory of all large messages together

Faulty targets sent bodies without end.

Cause: each connection may hold 16 MiB of a body, and nothing bounded the sum over thousands of connections. What was sent also stayed in memory until the next message of its connection.

MessageMemory counts what messages above 16 KiB take, over all connections of the process: bodies that are read or held, and messages that wait to be sent. A body may grow while as much as its length stays free; one without a known length needs three times its size and leaves a quarter to the others, so answers without end stop first and sound ones still find room. An answer that finds no room fails like a malformed one; the request of a caller is rejected with 503 and Retry-After, as it has not run. A ready message is always sent, and is released when it is written. docs/CAPACITY.md has the sum behind 64 MiB.

--- a/balsamyard/src/Connection/HttpLink.cpp
+++ b/balsamyard/src/Connection/HttpLink.cpp
@@ -35,7 +35,8 @@
 }
 
 HttpLink::HttpLink(asio::io_context &Context, const HttpLimits &Limits)
-    : Socket(Context), OpenTimer(Context), Parser(Limits) {}
+    : Socket(Context), OpenTimer(Context), Parser(Limits),
+      Memory(Limits.Memory) {}
 
 void HttpLink::open(const Endpoint &Peer, Duration Timeout, OpenHandler Done) {
   asio::error_code Problem;
@@ -76,6 +77,8 @@
                     AnswerHandler Done) {
   this->CurrentState = State::Busy;
   this->Outgoing = std::move(Message);
+  this->OutgoingShare =
+      shareOfReadyMessage(this->Memory, this->Outgoing.size());
   this->Answered = std::move(Done);
   this->Parser.begin(BodyExpected);
   this->Writing = true;
@@ -83,6 +86,8 @@
   asio::async_write(this->Socket, asio::buffer(this->Outgoing),
                     [Self](const asio::error_code &Problem, std::size_t) {
                       Self->Writing = false;
+                      std::string().swap(Self->Outgoing);
+                      Self->OutgoingShare = nullptr;
                       // A response that was read before the write failed has
                       // already ended the Busy state.
                       if (Problem && Self->CurrentState == State::Busy)
--- a/balsamyard/src/Connection/HttpLink.h
+++ b/balsamyard/src/Connection/HttpLink.h
@@ -80,7 +80,9 @@
   asio::steady_timer OpenTimer;
   ResponseParser Parser;
   std::array<char, 8192> Buffer;
-  std::string Outgoing;
+  std::string Outgoing; ///< Until it is written.
+  Ref<MessageShare> OutgoingShare;
+  MessageMemory *const Memory;
   State CurrentState = State::Closed;
   bool Writing = false;
   TimePoint IdleSince{};
--- a/balsamyard/src/Connection/HttpParser.cpp
+++ b/balsamyard/src/Connection/HttpParser.cpp
@@ -21,6 +21,9 @@
 /// What the next bytes of a message belong to.
 using MessagePart = std::variant<SectionSyntax, BodyBytes>;
 
+/// Other bodies have been read after this time.
+constexpr Duration MemoryRetryAfter = std::chrono::milliseconds(300);
+
 /// Message that the callbacks of http-parser build, for requests and responses.
 struct Collector {
   http_parser Parser{};
@@ -30,6 +33,8 @@
   std::string RequestTarget;
   HttpFields Fields;
   std::string Body;
+  Ref<MessageShare> BodyShare;
+  std::optional<std::size_t> BodyLength; ///< If the head states it.
   std::size_t HeaderBytes = 0;
   bool LastWasValue = true;
   bool Started = false;
@@ -49,6 +54,8 @@
     this->RequestTarget.clear();
     this->Fields = {};
     this->Body.clear();
+    this->BodyShare = nullptr;
+    this->BodyLength.reset();
     this->HeaderBytes = 0;
     this->LastWasValue = true;
     this->Started = false;
@@ -65,6 +72,26 @@
     return 1;
   }
 
+  /// Makes room for \p Count more bytes of the body, at least doubling what
+  /// it has, so that it is copied only a few times.
+  bool reserveBody(std::size_t Count) {
+    const std::size_t Needed = this->Body.size() + Count;
+    if (Needed <= this->Body.capacity())
+      return true;
+    const std::size_t Wanted =
+        std::min(std::max(Needed, 2 * this->Body.capacity()),
+                 this->BodyLength.value_or(this->Limits.BodyBytes));
+    if (this->Limits.Memory != nullptr &&
+        Wanted > MessageMemory::UncountedBytes) {
+      if (!this->BodyShare)
+        this->BodyShare = makeRef<MessageShare>(*this->Limits.Memory);
+      if (!this->BodyShare->grow(Wanted, this->BodyLength))
+        return false;
+    }
+    this->Body.reserve(Wanted);
+    return true;
+  }
+
   int addHeaderBytes(std::size_t Count) {
     this->HeaderBytes += Count;
     if (this->HeaderBytes > this->Limits.HeaderBytes)
@@ -167,8 +194,9 @@
     Self.fault(400, Fault);
     return -1;
   }
-  if (Parser->content_length != ULLONG_MAX &&
-      Parser->content_length > Self.Limits.BodyBytes) {
+  if ((Parser->flags & F_CONTENTLENGTH) != 0)
+    Self.BodyLength = Parser->content_length;
+  if (Self.BodyLength.value_or(0) > Self.Limits.BodyBytes) {
     Self.fault(413, "the body is too large");
     return -1;
   }
@@ -202,6 +230,10 @@
   Collector &Self = collector(Parser);
   if (Self.Body.size() + Length > Self.Limits.BodyBytes)
     return Self.fault(413, "the body is too large");
+  if (!Self.reserveBody(Length)) {
+    Self.Fault = {503, "no memory is left for the body", MemoryRetryAfter};
+    return 1;
+  }
   Self.Body.append(At, Length);
   return 0;
 }
@@ -328,6 +360,7 @@
   Result.Target = std::move(Self.RequestTarget);
   Result.Fields = std::move(Self.Fields);
   Result.Body = std::move(Self.Body);
+  Result.BodyShare = std::move(Self.BodyShare);
   Result.KeepAlive = Self.KeepAlive;
   Self.reset(HTTP_REQUEST);
   return Result;
@@ -386,6 +419,7 @@
   Result.Status = Self.Parser.status_code;
   Result.Fields = std::move(Self.Fields);
   Result.Body = std::move(Self.Body);
+  Result.BodyShare = std::move(Self.BodyShare);
   Result.KeepAlive = Self.KeepAlive;
   return Result;
 }
--- a/balsamyard/src/Connection/HttpParser.h
+++ b/balsamyard/src/Connection/HttpParser.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "balsamyard/src/Core/Http.h"
+#include "balsamyard/src/Core/MessageMemory.h"
+#include "balsamyard/src/Core/Time.h"
 
 #include <cstddef>
 #include <memory>
@@ -13,6 +15,9 @@
 struct HttpLimits {
   std::size_t HeaderBytes = 64UL * 1024;
   std::size_t BodyBytes = 16UL * 1024 * 1024;
+
+  /// Shared by the connections of the process; nullptr counts nothing.
+  MessageMemory *Memory = nullptr;
 };
 
 /// \brief More bytes are needed.
@@ -21,11 +26,12 @@
 /// \brief The message is complete; bytes after it were not consumed.
 struct HttpComplete {};
 
-/// \brief The message is malformed or exceeds a limit. Status is the response
-/// status of a server.
+/// \brief The message is malformed or exceeds a limit. Status and RetryAfter
+/// are those of the response of a server.
 struct HttpMalformed {
   int Status = 400;
   std::string_view Reason;
+  Duration RetryAfter{};
 };
 
 using HttpProgress = std::variant<HttpIncomplete, HttpComplete, HttpMalformed>;
--- a/balsamyard/src/Connection/ServerConnection.cpp
+++ b/balsamyard/src/Connection/ServerConnection.cpp
@@ -113,9 +113,13 @@
   this->CurrentState = State::Writing;
   this->KeepAfterWrite = KeepOpen;
   this->Outgoing = std::move(Message);
+  this->OutgoingShare =
+      shareOfReadyMessage(this->Limits.Message.Memory, this->Outgoing.size());
   const Ref<ServerConnection> Self(this);
   asio::async_write(this->Socket, asio::buffer(this->Outgoing),
                     [Self](const asio::error_code &Problem, std::size_t) {
+                      std::string().swap(Self->Outgoing);
+                      Self->OutgoingShare = nullptr;
                       if (Self->CurrentState != State::Writing)
                         return;
                       if (Problem) {
@@ -143,11 +147,14 @@
 
 void ServerConnection::reject(const HttpMalformed &Fault) {
   this->Timer.cancel();
-  logEvent(LogLevel::Info, "request-malformed",
+  logEvent(LogLevel::Info,
+           Fault.Status == UnavailableStatus ? "request-rejected"
+                                             : "request-malformed",
            {{"status", std::int64_t(Fault.Status)},
             {"detail", std::string(Fault.Reason)}});
   this->CurrentState = State::Handling;
-  this->answer(plainAnswer(Fault.Status, Fault.Reason, false), false);
+  this->answer(plainAnswer(Fault.Status, Fault.Reason, false, Fault.RetryAfter),
+               false);
 }
 
 void ServerConnection::armTimer(Duration After) {
--- a/balsamyard/src/Connection/ServerConnection.h
+++ b/balsamyard/src/Connection/ServerConnection.h
@@ -100,7 +100,8 @@
   ServerLimits Limits;
   std::array<char, 4096> Buffer;
   std::string Unparsed;
-  std::string Outgoing;
+  std::string Outgoing; ///< Until it is written.
+  Ref<MessageShare> OutgoingShare;
   State CurrentState = State::Reading;
   bool PeerKeepsOpen = true;
   bool Stopping = false;
--- a/balsamyard/src/Connection/TargetChannel.cpp
+++ b/balsamyard/src/Connection/TargetChannel.cpp
@@ -18,9 +18,10 @@
 } // namespace
 
 TargetChannel::TargetChannel(asio::io_context &Context, Ref<KnownTarget> Target,
-                             const TargetProtocol &Protocol)
+                             const TargetProtocol &Protocol,
+                             const HttpLimits &Answers)
     : Context(Context), Target(std::move(Target)), Protocol(Protocol),
-      IdleLimit(Times.IdleLimit) {}
+      Answers(Answers), IdleLimit(Times.IdleLimit) {}
 
 std::size_t TargetChannel::openLinks() const {
   return static_cast<std::size_t>(std::count_if(
@@ -106,7 +107,7 @@
     return false;
   this->NextCheck = {};
   auto Entry = makeRef<LinkEntry>();
-  Entry->Link = makeRef<HttpLink>(this->Context, HttpLimits{});
+  Entry->Link = makeRef<HttpLink>(this->Context, this->Answers);
   this->Links.push_back(Entry);
   Ref<TargetChannel> Self(this);
   Entry->Link->onIdleClose([Self, Entry] {
@@ -338,7 +339,7 @@
   // connections broke, so it is replaced.
   if (this->ProbeLink)
     this->ProbeLink->close();
-  this->ProbeLink = makeRef<HttpLink>(this->Context, HttpLimits{});
+  this->ProbeLink = makeRef<HttpLink>(this->Context, this->Answers);
   Ref<TargetChannel> Self(this);
   const Ref<HttpLink> Link = this->ProbeLink;
   Link->open(this->Target->Info.Address, this->Times.ProbeTimeout,
@@ -508,7 +509,8 @@
       Listed.insert(Target.get());
       Ref<TargetChannel> &Entry = this->Channels[Target.get()];
       if (!Entry)
-        Entry = makeRef<TargetChannel>(this->Context, Target, this->Protocol);
+        Entry = makeRef<TargetChannel>(this->Context, Target, this->Protocol,
+                                       this->Answers);
       const Ref<TargetChannel> Channel = Entry;
       Channel->configure(this->View->connectionQuota(At, Target->preferred(),
                                                      this->Threads,
@@ -528,7 +530,7 @@
   Ref<TargetChannel> &Channel = this->Channels[&Target];
   if (!Channel) {
     Channel = makeRef<TargetChannel>(this->Context, Ref<KnownTarget>(&Target),
-                                     this->Protocol);
+                                     this->Protocol, this->Answers);
     Channel->retire();
   }
   return *Channel;
--- a/balsamyard/src/Connection/TargetChannel.h
+++ b/balsamyard/src/Connection/TargetChannel.h
@@ -58,7 +58,7 @@
 class TargetChannel : public RefCounted<TargetChannel> {
 public:
   TargetChannel(asio::io_context &Context, Ref<KnownTarget> Target,
-                const TargetProtocol &Protocol);
+                const TargetProtocol &Protocol, const HttpLimits &Answers = {});
 
   /// \brief Sends the call as soon as a connection is free.
   void submit(Ref<LinkCall> Call);
@@ -147,6 +147,7 @@
   asio::io_context &Context;
   const Ref<KnownTarget> Target;
   const TargetProtocol &Protocol;
+  const HttpLimits Answers;
   std::string HealthPath; ///< Empty until configure().
   const ChannelTimes Times;
   ConnectionQuota Limit;
@@ -176,9 +177,9 @@
   /// \p Threads is the number of I/O threads that share the connections of the
   /// process.
   TargetChannels(asio::io_context &Context, const TargetProtocol &Protocol,
-                 std::size_t Threads)
+                 std::size_t Threads, const HttpLimits &Answers = {})
       : Context(Context), Protocol(Protocol), Threads(Threads),
-        Started(steadyNow()) {}
+        Answers(Answers), Started(steadyNow()) {}
 
   /// \brief Opens channels to new targets of \p Next and retires those that
   /// are not in it. Does nothing if \p Next is the current view.
@@ -201,6 +202,7 @@
   asio::io_context &Context;
   const TargetProtocol &Protocol;
   const std::size_t Threads;
+  const HttpLimits Answers;
   const TimePoint Started;
   Ref<const FleetView> View;
   /// The connections of the previous process have expired at the targets.
--- a/balsamyard/src/Core/Http.h
+++ b/balsamyard/src/Core/Http.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "balsamyard/src/Core/MessageMemory.h"
+
 #include <cstddef>
 #include <string>
 #include <string_view>
@@ -51,6 +53,7 @@
   std::string Target;
   HttpFields Fields;
   std::string Body;
+  Ref<MessageShare> BodyShare; ///< Of a large body.
   bool KeepAlive = true;
 };
 
@@ -59,6 +62,7 @@
   int Status = 0;
   HttpFields Fields;
   std::string Body;
+  Ref<MessageShare> BodyShare; ///< Of a large body.
   bool KeepAlive = true;
 };
 
--- a/balsamyard/src/Process/Node.cpp
+++ b/balsamyard/src/Process/Node.cpp
@@ -19,12 +19,13 @@
   return {asio::ip::make_address(Source.Address), Source.Port};
 }
 
-ServerLimits limitsOf(const FleetView &View) {
+ServerLimits limitsOf(const FleetView &View, MessageMemory &Messages) {
   ServerLimits Result;
+  Result.Message.Memory = &Messages;
   if (!View.Config)
     return Result;
   const CallerLimits &Limits = View.Config->Limits;
-  Result.Message = {Limits.HeaderBytes, Limits.BodyBytes};
+  Result.Message = {Limits.HeaderBytes, Limits.BodyBytes, &Messages};
   Result.HeaderTimeout = Limits.HeaderTimeout;
   Result.IdleTimeout = Limits.IdleTimeout;
   return Result;
@@ -58,11 +59,12 @@
 WorkerThread::WorkerThread(const TargetProtocol &Protocol,
                            const RcuCell<FleetView> &View,
                            std::atomic<std::uint32_t> &InFlight,
-                           std::uint64_t Seed, std::size_t Number,
-                           std::size_t Threads,
+                           MessageMemory &Messages, std::uint64_t Seed,
+                           std::size_t Number, std::size_t Threads,
                            std::function<void(RequestCrashEvent)> OnCrashEvent)
     : Io(1), Work(asio::make_work_guard(this->Io)), View(View),
-      Channels(this->Io, Protocol, Threads),
+      Messages(Messages),
+      Channels(this->Io, Protocol, Threads, HttpLimits{.Memory = &Messages}),
       Context{this->Io,
               this->Channels,
               Protocol,
@@ -74,14 +76,14 @@
               std::move(OnCrashEvent)},
       Callers(
           this->Io,
-          ServerHooks{[this](ServerConnection &Caller, HttpRequest Request) {
-                        RequestRun::start(this->Context, Caller,
-                                          std::move(Request));
-                      },
-                      [](ServerConnection &Caller) {
-                        RequestRun::callerDisconnected(Caller);
-                      },
-                      [this] { return limitsOf(*this->View.read()); }}),
+          ServerHooks{
+              [this](ServerConnection &Caller, HttpRequest Request) {
+                RequestRun::start(this->Context, Caller, std::move(Request));
+              },
+              [](ServerConnection &Caller) {
+                RequestRun::callerDisconnected(Caller);
+              },
+              [this] { return limitsOf(*this->View.read(), this->Messages); }}),
       Timer(this->Io) {}
 
 void WorkerThread::listen(const asio::ip::tcp::endpoint &Address) {
@@ -168,7 +170,7 @@
   std::random_device Entropy;
   for (std::uint32_t Count = 0; Count < this->Settings.Cores; ++Count) {
     this->Workers.push_back(std::make_unique<WorkerThread>(
-        this->Protocol, this->View, this->InFlight,
+        this->Protocol, this->View, this->InFlight, this->Messages,
         (std::uint64_t(Entropy()) << 32) + Entropy(), Count,
         this->Settings.Cores, [this](RequestCrashEvent Event) {
           asio::post(this->Control, [this, Event = std::move(Event)] {
@@ -207,6 +209,10 @@
   Metrics ProcessMetrics;
   ProcessMetrics.set("node_ready", "", this->isReady() ? 1 : 0);
   ProcessMetrics.set("requests_in_flight", "", this->InFlight.load());
+  ProcessMetrics.set("message_memory_bytes", "",
+                     static_cast<double>(this->Messages.used()));
+  ProcessMetrics.set("messages_refused_total", "",
+                     static_cast<double>(this->Messages.refusals()));
   ProcessMetrics.set("nodes_counted", "", Current->Shares.Nodes);
   ProcessMetrics.set("store_read", "", this->Agent.readsStore() ? 1 : 0);
   ProcessMetrics.set("followers", "",
--- a/balsamyard/src/Process/Node.h
+++ b/balsamyard/src/Process/Node.h
@@ -37,13 +37,17 @@
   Duration CheckInterval = std::chrono::milliseconds(50);
 };
 
+/// \brief Memory of a process for large messages; docs/CAPACITY.md has the sum
+/// that it is part of.
+inline constexpr std::size_t MessageMemoryBytes = 64UL * 1024 * 1024;
+
 /// \brief A thread that serves callers and owns its connections to callers and
 /// targets.
 class WorkerThread {
 public:
   WorkerThread(const TargetProtocol &Protocol, const RcuCell<FleetView> &View,
-               std::atomic<std::uint32_t> &InFlight, std::uint64_t Seed,
-               std::size_t Number, std::size_t Threads,
+               std::atomic<std::uint32_t> &InFlight, MessageMemory &Messages,
+               std::uint64_t Seed, std::size_t Number, std::size_t Threads,
                std::function<void(RequestCrashEvent)> OnCrashEvent);
 
   /// \brief Listens for callers; throws std::system_error on failure.
@@ -84,6 +88,7 @@
   asio::io_context Io;
   asio::executor_work_guard<asio::io_context::executor_type> Work;
   const RcuCell<FleetView> &View;
+  MessageMemory &Messages;
   Metrics Counters;
   TargetChannels Channels;
   RequestContext Context;
@@ -134,6 +139,7 @@
   const TargetProtocol Protocol;
   RcuCell<FleetView> View;
   std::atomic<std::uint32_t> InFlight{0};
+  MessageMemory Messages{MessageMemoryBytes};
   std::vector<std::unique_ptr<WorkerThread>> Workers;
   asio::io_context Control;
   FleetAgent Agent;
--- a/tests/path/PlatformWorld.h
+++ b/tests/path/PlatformWorld.h
@@ -46,9 +46,15 @@
 
   void announce(const std::string &Service, const FakeTarget &Target,
                 const std::string &State, const std::string &Version) {
-    this->Store.put("servers", Target.Id,
+    this->announce(Service, Target.Id, Target.address(), State, Version);
+  }
+
+  void announce(const std::string &Service, const std::string &Id,
+                const std::string &Address, const std::string &State = "ready",
+                const std::string &Version = "v1") {
+    this->Store.put("servers", Id,
                     {{"service", Service},
-                     {"address", Target.address()},
+                     {"address", Address},
                      {"zone", "east"},
                      {"version", Version},
                      {"slots", 3},
