Tests: a status of 000 at the older build-up

It takes every status but 200 for a failure, so an answer with a status of 000 does not reach a caller there. The test passes without a change and is kept.

--- a/tests/TargetClientTest.cpp
+++ b/tests/TargetClientTest.cpp
@@ -286,6 +286,15 @@
     CHECK(Client.write().Reply.Ran == Outcome::Unknown);
   }
 
+  SECTION("a status of 000") {
+    const std::string Body = makeAnswer().dump();
+    RawTarget Target("HTTP/1.1 000 Nothing\r\nContent-Length: " +
+                     std::to_string(Body.size()) + "\r\n\r\n" + Body);
+    Probe Client(Target.address());
+    CHECK(Client.search().Reply.Result == Code::TargetFailed);
+    CHECK(Client.write().Reply.Ran == Outcome::Unknown);
+  }
+
   SECTION("bytes that are not HTTP") {
     RawTarget Target("\x01\x02\x03 nonsense\r\n\r\n");
     CHECK(Probe(Target.address()).write().Reply.Ran == Outcome::Unknown);
