--- a/balsamyard/src/Connection/HttpParser.cpp
+++ b/balsamyard/src/Connection/HttpParser.cpp
@@ -102,7 +102,7 @@
   return *static_cast<Collector *>(Parser->data);
 }
 
-/// \returns why the status is none of a response, empty if it is one.
+/// \returns why no response may have this status, empty if one may.
 std::string_view statusFault(int Status) {
   constexpr int MinStatus = 100;
   constexpr int MaxStatus = 599;
@@ -114,8 +114,8 @@
   return {};
 }
 
-/// \returns whether a head with this status must not state a length above 0.
-bool forbidsLength(int Status) {
+/// \returns whether a response with this status must not state a body.
+bool forbidsBody(int Status) {
   constexpr int NoContent = 204;
   return Status / 100 == 1 || Status == NoContent;
 }
@@ -139,11 +139,11 @@
   const int Status = Self.Parser.status_code;
   if (const std::string_view Fault = statusFault(Status); !Fault.empty())
     return Fault;
-  const bool StatesLength = (Self.Parser.flags & F_CHUNKED) != 0 ||
-                            ((Self.Parser.flags & F_CONTENTLENGTH) != 0 &&
-                             Self.Parser.content_length > 0);
-  if (StatesLength && forbidsLength(Status))
-    return "a response that has no body states a length";
+  const bool StatesBody = (Self.Parser.flags & F_CHUNKED) != 0 ||
+                          ((Self.Parser.flags & F_CONTENTLENGTH) != 0 &&
+                           Self.Parser.content_length > 0);
+  if (StatesBody && forbidsBody(Status))
+    return "a response with this status has no body";
   return {};
 }
 
--- a/tests/path/BrokenAnswerTest.cpp
+++ b/tests/path/BrokenAnswerTest.cpp
@@ -11,8 +11,8 @@
 
 namespace {
 
-/// \brief Bytes of a target in trouble.
-struct BrokenAnswer {
+/// \brief What a target sends.
+struct SampleAnswer {
   const char *Name;
   std::string Bytes;
   bool KeepOpen = true;
@@ -32,7 +32,7 @@
          "Content-Length: 4\r\n\r\nbody";
 }
 
-std::vector<BrokenAnswer> invalidStatuses() {
+std::vector<SampleAnswer> invalidStatuses() {
   return {{"a status of 000", withStatusLine("HTTP/1.1 000 Nothing")},
           {"a status of 000 without a reason", withStatusLine("HTTP/1.1 000")},
           {"a status below 100", withStatusLine("HTTP/1.1 099 Low")},
@@ -43,7 +43,7 @@
                withStatusLine("HTTP/1.1 200 OK")}};
 }
 
-std::vector<BrokenAnswer> brokenStatusLines() {
+std::vector<SampleAnswer> brokenStatusLines() {
   return {{"a status of one digit", withStatusLine("HTTP/1.1 2 OK")},
           {"a status of two digits", withStatusLine("HTTP/1.1 20 OK")},
           {"a status of four digits", withStatusLine("HTTP/1.1 0200 OK")},
@@ -59,8 +59,8 @@
            "\r\n" + withStatusLine("HTTP/1.1 200 OK")}};
 }
 
-std::vector<BrokenAnswer> brokenFieldLines() {
-  std::vector<BrokenAnswer> Result = {
+std::vector<SampleAnswer> brokenFieldLines() {
+  std::vector<SampleAnswer> Result = {
       {"a folded field", withLines("X-Field: a\r\n b\r\n")},
       {"a folded receipt", "HTTP/1.1 200 OK\r\n" + ValidFields +
                                "\tmore\r\nContent-Length: 4\r\n\r\nbody"},
@@ -98,7 +98,7 @@
          "Transfer-Encoding: chunked\r\n\r\n" + Chunks;
 }
 
-std::vector<BrokenAnswer> brokenChunks() {
+std::vector<SampleAnswer> brokenChunks() {
   return {
       {"a CR without LF behind the size of a chunk",
        withChunks("4\rXbody\r\n0\r\n\r\n")},
@@ -132,7 +132,7 @@
        withChunks("4\r\nbody\r\n0\r\nX-Field: \1\r\n\r\n")}};
 }
 
-std::vector<BrokenAnswer> brokenLengths() {
+std::vector<SampleAnswer> brokenLengths() {
   const std::string Ok = "HTTP/1.1 200 OK\r\n" + ValidFields;
   return {
       {"an unknown transfer coding", Ok + "Transfer-Encoding: xyz\r\n\r\nbody",
@@ -157,7 +157,7 @@
        Ok + "Content-Length: 18446744073709551620\r\n\r\nbody"}};
 }
 
-std::vector<BrokenAnswer> bodiesWithoutRoom() {
+std::vector<SampleAnswer> bodiesWithoutRoom() {
   const std::string Fields = ValidFields + "Content-Length: 4\r\n\r\nbody";
   const std::string Final = withStatusLine("HTTP/1.1 200 OK");
   return {{"an interim response with a length",
@@ -172,12 +172,12 @@
 }
 
 /// \brief Broken answers of one kind.
-struct Trouble {
+struct AnswerGroup {
   const char *Name;
-  std::vector<BrokenAnswer> Answers;
+  std::vector<SampleAnswer> Answers;
 };
 
-std::vector<Trouble> allTroubles() {
+std::vector<AnswerGroup> brokenAnswers() {
   return {{"statuses", invalidStatuses()},
           {"status lines", brokenStatusLines()},
           {"lines of the head", brokenFieldLines()},
@@ -188,7 +188,7 @@
 
 /// \brief A node with a route and a target for each of some answers.
 struct AnsweringWorld : PlatformWorld {
-  explicit AnsweringWorld(const std::vector<BrokenAnswer> &Answers) {
+  explicit AnsweringWorld(const std::vector<SampleAnswer> &Answers) {
     for (std::size_t At = 0; At < Answers.size(); ++At) {
       const std::string Service = "s" + std::to_string(At);
       this->add(Service, "i-" + std::to_string(At), "",
@@ -214,7 +214,7 @@
 // Guards against bytes that are no HTTP/1.1 response and reach a caller as an
 // answer, or as a part of one.
 SCENARIO("a broken answer of a target does not reach the caller", "[broken]") {
-  for (const auto &[Name, Answers] : allTroubles())
+  for (const auto &[Name, Answers] : brokenAnswers())
     GIVEN("targets that send broken " + std::string(Name)) {
       AnsweringWorld World(Answers);
       for (std::size_t At = 0; At < Answers.size(); ++At) {
@@ -257,9 +257,9 @@
 // Guards against checks that depend on how the network splits the bytes.
 SCENARIO("a broken answer is malformed whatever pieces it arrives in",
          "[broken]") {
-  for (const auto &[Name, Answers] : allTroubles())
+  for (const auto &[Name, Answers] : brokenAnswers())
     GIVEN("broken " + std::string(Name)) {
-      for (const BrokenAnswer &Broken : Answers)
+      for (const SampleAnswer &Broken : Answers)
         for (const std::size_t Piece :
              {std::size_t(1), std::size_t(3), Broken.Bytes.size()}) {
           INFO(Broken.Name << " in pieces of " << Piece);
@@ -283,7 +283,7 @@
 SCENARIO("an unusual but valid answer reaches the caller unchanged",
          "[broken]") {
   const std::string Ok = "HTTP/1.1 200 OK\r\n" + ValidFields;
-  const std::vector<BrokenAnswer> Answers = {
+  const std::vector<SampleAnswer> Answers = {
       {"no reason", withStatusLine("HTTP/1.1 200")},
       {"an empty reason", withStatusLine("HTTP/1.1 200 ")},
       {"bytes above 0x7f in the reason",
