Tests: count the calls of a reader after its first watches

Cause: the reader counts as connected when it has its four lists. The test took its first count then, but the four first watches follow and may reach the store later, so it took them for checks.

The test now waits for the lists and watches before it counts. Its bounds are as they were.

--- a/tests/path/StoreReaderTest.cpp
+++ b/tests/path/StoreReaderTest.cpp
@@ -178,6 +178,11 @@
 // The platform charges each call.
 SCENARIO("a reader calls a store that does not change", "[reader]") {
   ReaderWorld World;
+  // The reader is connected when it has its lists. The first watches, which
+  // follow, may reach the store later.
+  constexpr std::size_t ListsAndWatches = 8;
+  REQUIRE(World.runUntil([&] { return World.Store.calls() >= ListsAndWatches; },
+                         5 * Second));
   const std::size_t Before = World.Store.calls();
   const TimePoint Start = steadyNow();
   World.runUntil([] { return false; }, 3 * Second);
