Tests: a node process under crowds of clients that misbehave

The tests start a real balsamyard-node with lowered limits (64 MB, 1,600 descriptors, which the kernel enforces too) and crowds of up to 3,000 clients that stay, and call again when they are closed. Header and idle timeouts are 10 minutes, so that no timeout ends a crowd. Checked are only that the process lives, that resident memory and the buffers of its sockets in the kernel (/proc/net/tcp) stay within the memory of the settings, that descriptors stay below their limit, and that an ordinary small and medium request is answered while the crowd stays and after it has left, a long one after it. Beside them a single caller that goes to the limits of the configuration in calm.

--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -17,6 +17,7 @@
 fi
 "$BUILD/balsamyard-tests" "${EXCLUDED[@]}"
 "$BUILD/balsamyard-path-tests" "${EXCLUDED[@]}"
+"$BUILD/balsamyard-crowd-tests" "${EXCLUDED[@]}"
 bash tests/end_to_end.sh "$PWD/$BUILD/bin"
 # Seeds that found faults before; see docs/PROOFS.md.
 for SEED in 1 15; do
--- a/tests/soak/NodeProcess.cpp
+++ b/tests/soak/NodeProcess.cpp
@@ -5,6 +5,7 @@
 #include <fstream>
 #include <spawn.h>
 #include <stdexcept>
+#include <sys/resource.h>
 #include <sys/wait.h>
 
 extern char **environ;
@@ -31,8 +32,12 @@
        << ReadinessPort << "\"\n"
        << "ip: \"" << this->Options.Address << "\"\ninternalPorts:\n  - "
        << PeerPort << "\n"
-       << "limits:\n  cores: 2\n"
-       << "bounds:\n  drainMs: 3000\n  graceS: 6\n  retryBudgetRatio: 0.2\n"
+       << "limits:\n  cores: " << this->Options.Limits.Cores << "\n";
+  if (this->Options.Limits.MemoryMegabytes > 0)
+    File << "  memoryMb: " << this->Options.Limits.MemoryMegabytes << "\n";
+  if (this->Options.Limits.Descriptors > 0)
+    File << "  maxFds: " << this->Options.Limits.Descriptors << "\n";
+  File << "bounds:\n  drainMs: 3000\n  graceS: 6\n  retryBudgetRatio: 0.2\n"
        << "  retryWindowS: 10\n  retryBudgetSlack: "
        << 300 + this->SettingsVersion << "\n"
        << "platform:\n  address: \"127.0.0.1:" << this->Options.Store.port()
@@ -65,12 +70,26 @@
   std::string Program = this->Options.Program;
   std::string Flag = "--settings";
   std::string Path = Base + ".yaml";
-  char *Arguments[] = {Program.data(), Flag.data(), Path.data(), nullptr};
+  std::string MetricsFlag = "--metrics-port";
+  std::string Metrics = std::to_string(MetricsPort);
+  char *Arguments[] = {
+      Program.data(),
+      Flag.data(),
+      Path.data(),
+      this->Options.ServesMetrics ? MetricsFlag.data() : nullptr,
+      Metrics.data(),
+      nullptr};
   const int Problem = ::posix_spawn(&this->Process, Program.c_str(), &Files,
                                     nullptr, Arguments, environ);
   ::posix_spawn_file_actions_destroy(&Files);
   if (Problem != 0)
     throw std::runtime_error("cannot start " + Program);
+  if (this->Options.Limits.Descriptors == 0)
+    return;
+  const rlimit Granted{this->Options.Limits.Descriptors,
+                       this->Options.Limits.Descriptors};
+  if (::prlimit(this->Process, RLIMIT_NOFILE, &Granted, nullptr) != 0)
+    throw std::runtime_error("cannot limit the descriptors of " + Program);
 }
 
 void NodeProcess::signal(int Number) {
@@ -86,12 +105,24 @@
   return Status;
 }
 
+asio::ip::tcp::endpoint NodeProcess::at(std::uint16_t Port) const {
+  return {asio::ip::make_address(this->Options.Address), Port};
+}
+
 asio::ip::tcp::endpoint NodeProcess::callers() const {
-  return {asio::ip::make_address(this->Options.Address), CallerPort};
+  return this->at(CallerPort);
 }
 
 asio::ip::tcp::endpoint NodeProcess::readiness() const {
-  return {asio::ip::make_address(this->Options.Address), ReadinessPort};
+  return this->at(ReadinessPort);
+}
+
+asio::ip::tcp::endpoint NodeProcess::metrics() const {
+  return this->at(MetricsPort);
+}
+
+asio::ip::tcp::endpoint NodeProcess::peers() const {
+  return this->at(PeerPort);
 }
 
 } // namespace balsamyard::soak
--- a/tests/soak/NodeProcess.h
+++ b/tests/soak/NodeProcess.h
@@ -9,6 +9,14 @@
 
 namespace balsamyard::soak {
 
+/// \brief What the platform grants a node process. Zero leaves the field out of
+/// its settings.
+struct NodeLimits {
+  std::uint32_t Cores = 2;
+  std::uint32_t MemoryMegabytes = 0;
+  std::uint32_t Descriptors = 0; ///< Also a limit of the process itself.
+};
+
 /// \brief Location and addresses of a node process.
 struct NodeOptions {
   std::string Program; ///< Path of balsamyard-node.
@@ -16,6 +24,8 @@
   std::string Name;
   std::string Address; ///< Loopback address that only this node uses.
   asio::ip::tcp::endpoint Store;
+  NodeLimits Limits{};
+  bool ServesMetrics = false;
 };
 
 /// \brief A balsamyard-node running as a child process.
@@ -24,6 +34,7 @@
   static constexpr std::uint16_t CallerPort = 8104;
   static constexpr std::uint16_t ReadinessPort = 8108;
   static constexpr std::uint16_t PeerPort = 7380;
+  static constexpr std::uint16_t MetricsPort = 9464;
 
   /// Time between the stop signal and the kill by the platform.
   static constexpr Duration GraceTime = std::chrono::seconds(6);
@@ -44,8 +55,11 @@
   std::optional<int> takeExitStatus();
 
   bool isRunning() const { return this->Process > 0; }
+  pid_t id() const { return this->Process; }
   asio::ip::tcp::endpoint callers() const;
   asio::ip::tcp::endpoint readiness() const;
+  asio::ip::tcp::endpoint metrics() const;
+  asio::ip::tcp::endpoint peers() const;
   const std::string &name() const { return this->Options.Name; }
 
   /// \brief Signals and faults that the soak test has applied to the process.
@@ -56,6 +70,7 @@
 
 private:
   void writeSettings() const;
+  asio::ip::tcp::endpoint at(std::uint16_t Port) const;
 
   const NodeOptions Options;
   pid_t Process = 0;
