Listener: limit the connections of callers, and close silent ones for others

Callers saw: while others hold 5,000 connections and send nothing, an ask waits unaccepted until it gives up. Cause: connections had no limit, so they took all descriptors; neither new callers nor new targets could be connected.

Now half of the descriptors, and of the memory at the worst cost of a connection, are for callers (divideResources). A full table closes the connection that has been silent longest and has no request at work, so that new callers are accepted; single bytes of a request do not count as activity. The other half stays for targets, the store and other nodes. The table counts its connections, so a planned stop needs no counter that lags behind.

--- a/balsamyard/src/Connection/ServerConnection.cpp
+++ b/balsamyard/src/Connection/ServerConnection.cpp
@@ -1,19 +1,36 @@
 #include "balsamyard/src/Connection/ServerConnection.h"
 
+#include "balsamyard/src/Connection/ConnectionTable.h"
 #include "balsamyard/src/Connection/HttpLink.h"
 #include "balsamyard/src/Connection/TargetProtocol.h"
 #include "balsamyard/src/Core/Log.h"
 
 #include <algorithm>
 #include <asio/write.hpp>
-#include <sys/socket.h>
+#include <utility>
 
 namespace balsamyard {
 
 ServerConnection::ServerConnection(asio::ip::tcp::socket Accepted,
-                                   const ServerHooks &Hooks)
+                                   const ServerHooks &Hooks,
+                                   ConnectionTable *Table)
     : Socket(std::move(Accepted)), Timer(this->Socket.get_executor()),
-      Hooks(Hooks) {}
+      Hooks(Hooks), Table(Table) {
+  if (this->Table != nullptr)
+    this->Table->add(*this);
+}
+
+ServerConnection::~ServerConnection() { this->leaveTable(); }
+
+void ServerConnection::leaveTable() {
+  if (ConnectionTable *Left = std::exchange(this->Table, nullptr))
+    Left->remove(*this);
+}
+
+void ServerConnection::noteActivity() {
+  if (this->Table != nullptr)
+    this->Table->touch(*this);
+}
 
 void ServerConnection::start() {
   tuneSocket(this->Socket);
@@ -78,6 +95,7 @@
   this->HeaderTimerArmed = false;
   this->Timer.cancel();
   this->CurrentState = State::Handling;
+  this->noteActivity();
   HttpRequest Request = this->Parser.take();
   this->PeerKeepsOpen = Request.KeepAlive;
   // Keeps reading to detect that the peer disconnects.
@@ -135,6 +153,7 @@
                         return;
                       }
                       Self->CurrentState = State::Reading;
+                      Self->noteActivity();
                       Self->Limits = Self->Hooks.Limits();
                       Self->Parser.limit(Self->Limits.Message);
                       Self->armTimer(Self->Limits.IdleTimeout);
@@ -203,72 +222,17 @@
   asio::error_code Ignored;
   // The socket is released whatever the result is.
   this->Socket.close(Ignored);
-  this->Hook.unlink();
-}
-
-Listener::Listener(asio::io_context &Context, ServerHooks Hooks)
-    : Acceptor(Context), AcceptTimer(Context), Hooks(std::move(Hooks)) {}
-
-void Listener::listen(const asio::ip::tcp::endpoint &At) {
-  this->Acceptor.open(At.protocol());
-  this->Acceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true));
-  const int On = 1;
-  // Several I/O threads listen on the same address.
-  ::setsockopt(this->Acceptor.native_handle(), SOL_SOCKET, SO_REUSEPORT, &On,
-               sizeof(On));
-  this->Acceptor.bind(At);
-  this->Acceptor.listen();
-  this->accept();
-}
-
-std::uint16_t Listener::port() const {
-  return this->Acceptor.local_endpoint().port();
+  this->leaveTable();
 }
 
-void Listener::accept() {
-  this->Acceptor.async_accept([this](const asio::error_code &Problem,
-                                     asio::ip::tcp::socket Socket) {
-    if (Problem == asio::error::operation_aborted)
-      return;
-    if (Problem) {
-      logEvent(LogLevel::Warning, "accept-failed",
-               {{"detail", Problem.message()}});
-      this->AcceptTimer.expires_after(AcceptRetryPause);
-      this->AcceptTimer.async_wait([this](const asio::error_code &Cancelled) {
-        if (!Cancelled)
-          this->accept();
-      });
-      return;
-    }
-    const auto Accepted =
-        makeRef<ServerConnection>(std::move(Socket), this->Hooks);
-    this->Connections.push_back(*Accepted);
-    if (this->Stopping)
-      Accepted->beginStop();
-    Accepted->start();
-    this->accept();
-  });
-}
-
-void Listener::beginStop() {
-  this->Stopping = true;
-  for (ServerConnection &Connection : this->Connections)
-    Connection.beginStop();
-}
-
-std::vector<Ref<ServerConnection>> Listener::open() {
-  std::vector<Ref<ServerConnection>> Result;
-  for (ServerConnection &Connection : this->Connections)
-    Result.emplace_back(&Connection);
-  return Result;
-}
-
-void Listener::closeIdle() {
-  asio::error_code Ignored;
-  // The result does not matter: the process is about to exit.
-  this->Acceptor.close(Ignored);
-  for (ServerConnection &Connection : this->Connections)
-    Connection.closeIfIdle();
+void ServerConnection::evict() {
+  // An answer that was written may still be on its way, so the kernel delivers
+  // it. One that the peer has not taken for so long is dropped.
+  if (this->CurrentState == State::Writing) {
+    asio::error_code Ignored;
+    this->Socket.set_option(asio::socket_base::linger(true, 0), Ignored);
+  }
+  this->close();
 }
 
 } // namespace balsamyard
--- a/balsamyard/src/Connection/ServerConnection.h
+++ b/balsamyard/src/Connection/ServerConnection.h
@@ -5,13 +5,11 @@
 #include "balsamyard/src/Core/Time.h"
 
 #include <array>
-#include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 #include <asio/steady_timer.hpp>
-#include <boost/intrusive/list.hpp>
+#include <boost/intrusive/list_hook.hpp>
 #include <functional>
 #include <string>
-#include <vector>
 
 namespace balsamyard {
 
@@ -22,6 +20,7 @@
   Duration IdleTimeout = std::chrono::seconds(60);
 };
 
+class ConnectionTable;
 class ServerConnection;
 
 /// \brief Callbacks of the owner of incoming connections.
@@ -49,8 +48,11 @@
   /// handled.
   static constexpr std::size_t MaxPipelined = 64UL * 1024;
 
-  /// \p Hooks outlives the connection.
-  ServerConnection(asio::ip::tcp::socket Socket, const ServerHooks &Hooks);
+  /// \p Hooks outlives the connection. The connection is in \p Table until it
+  /// closes.
+  ServerConnection(asio::ip::tcp::socket Socket, const ServerHooks &Hooks,
+                   ConnectionTable *Table = nullptr);
+  ~ServerConnection();
 
   void start();
 
@@ -72,13 +74,21 @@
   /// \brief Closes the connection in any state.
   void close();
 
+  /// \brief Closes the connection to make room for others. Drops the rest of an
+  /// answer that its peer does not take.
+  void evict();
+
+  /// \returns whether a request of the peer is at work.
+  bool isHandling() const { return this->CurrentState == State::Handling; }
+
+  /// \brief Removes the connection from its table.
+  void leaveTable();
+
   /// \brief Data of the owner for the running request.
   void *Attached = nullptr;
 
-  /// Position in the list of the listener.
-  boost::intrusive::list_member_hook<
-      boost::intrusive::link_mode<boost::intrusive::auto_unlink>>
-      Hook;
+  /// Position in the table of the listener.
+  boost::intrusive::list_member_hook<> Hook;
 
 private:
   enum class State { Reading, Handling, Writing, Lingering, Closed };
@@ -92,10 +102,12 @@
   void onIncomplete();
   void onTimer();
   void linger();
+  void noteActivity();
 
   asio::ip::tcp::socket Socket;
   asio::steady_timer Timer;
   const ServerHooks &Hooks;
+  ConnectionTable *Table;
   RequestParser Parser;
   ServerLimits Limits;
   std::array<char, 4096> Buffer;
@@ -111,52 +123,4 @@
   bool HeaderTimerArmed = false;
 };
 
-/// \brief Accepts connections for one I/O thread and shuts them down
-/// gracefully.
-class Listener {
-public:
-  using ConnectionList = boost::intrusive::list<
-      ServerConnection,
-      boost::intrusive::member_hook<
-          ServerConnection,
-          boost::intrusive::list_member_hook<
-              boost::intrusive::link_mode<boost::intrusive::auto_unlink>>,
-          &ServerConnection::Hook>,
-      boost::intrusive::constant_time_size<false>>;
-
-  Listener(asio::io_context &Context, ServerHooks Hooks);
-
-  /// \brief Listens on \p At; several listeners may share an address.
-  void listen(const asio::ip::tcp::endpoint &At);
-
-  /// \returns the port, which the kernel chose if 0 was asked for.
-  std::uint16_t port() const;
-
-  /// \brief Closes each connection after its next answer. New connections are
-  /// still accepted, because the load balancer needs time to notice.
-  void beginStop();
-
-  /// \brief Closes the listening socket and every connection without a
-  /// request.
-  void closeIdle();
-
-  /// \returns the open connections.
-  std::vector<Ref<ServerConnection>> open();
-
-  std::size_t connections() const { return this->Connections.size(); }
-
-private:
-  void accept();
-
-  /// Pause after a failed accept. Without it, a process without free
-  /// descriptors would retry in a busy loop.
-  static constexpr Duration AcceptRetryPause = std::chrono::milliseconds(100);
-
-  asio::ip::tcp::acceptor Acceptor;
-  asio::steady_timer AcceptTimer;
-  ServerHooks Hooks;
-  ConnectionList Connections;
-  bool Stopping = false;
-};
-
 } // namespace balsamyard
--- a/balsamyard/src/Process/Node.cpp
+++ b/balsamyard/src/Process/Node.cpp
@@ -59,8 +59,9 @@
 WorkerThread::WorkerThread(const TargetProtocol &Protocol,
                            const RcuCell<FleetView> &View,
                            std::atomic<std::uint32_t> &InFlight,
-                           MessageMemory &Messages, std::uint64_t Seed,
-                           std::size_t Number, std::size_t Threads,
+                           MessageMemory &Messages, std::size_t MaxCallers,
+                           std::uint64_t Seed, std::size_t Number,
+                           std::size_t Threads,
                            std::function<void(RequestCrashEvent)> OnCrashEvent)
     : Io(1), Work(asio::make_work_guard(this->Io)), View(View),
       Messages(Messages),
@@ -83,7 +84,8 @@
               [](ServerConnection &Caller) {
                 RequestRun::callerDisconnected(Caller);
               },
-              [this] { return limitsOf(*this->View.read(), this->Messages); }}),
+              [this] { return limitsOf(*this->View.read(), this->Messages); }},
+          MaxCallers),
       Timer(this->Io) {}
 
 void WorkerThread::listen(const asio::ip::tcp::endpoint &Address) {
@@ -129,8 +131,7 @@
 
 void WorkerThread::tick() {
   this->Channels.tick(steadyNow());
-  this->ConnectionCount.store(this->Callers.connections(),
-                              std::memory_order_relaxed);
+  this->logEvictions();
   this->Context.NextTick = steadyNow() + TickInterval;
   this->Timer.expires_at(this->Context.NextTick);
   this->Timer.async_wait([this](const asio::error_code &Cancelled) {
@@ -139,12 +140,23 @@
   });
 }
 
+void WorkerThread::logEvictions() {
+  const std::uint64_t Total = this->Callers.evictions();
+  if (Total == this->LoggedEvictions)
+    return;
+  logEvent(LogLevel::Warning, "callers-evicted",
+           {{"count", static_cast<std::int64_t>(Total - this->LoggedEvictions)},
+            {"open", static_cast<std::int64_t>(this->Callers.connections())}});
+  this->LoggedEvictions = Total;
+}
+
 Node::Node(NodeSettings Settings, PlatformAdapter Adapter,
            SettingsReader ReadSettings, std::string SettingsPath,
            StopTimes Stops)
     : Settings(std::move(Settings)), Adapter(std::move(Adapter)),
       ReadSettings(std::move(ReadSettings)),
       SettingsPath(std::move(SettingsPath)), Stops(Stops),
+      Resources(divideResources(this->Settings)),
       Protocol(this->Adapter.Headers), View(makeRef<const FleetView>()),
       Control(1),
       Agent(this->Control, this->Settings, this->Adapter, this->View,
@@ -156,14 +168,17 @@
                 immediateHooks(
                     [this](ServerConnection &Peer, const HttpRequest &Request) {
                       this->onReadinessRequest(Peer, Request);
-                    })),
-      MetricsPage(this->Control, immediateHooks([this](ServerConnection &Peer,
-                                                       const HttpRequest &) {
-                    const bool KeepOpen = Peer.mayKeepOpen();
-                    Peer.answer(plainAnswer(200, this->metricsText(), KeepOpen,
-                                            {}, "text/plain; version=0.0.4"),
-                                KeepOpen);
-                  })),
+                    }),
+                MaxPageConnections),
+      MetricsPage(
+          this->Control,
+          immediateHooks([this](ServerConnection &Peer, const HttpRequest &) {
+            const bool KeepOpen = Peer.mayKeepOpen();
+            Peer.answer(plainAnswer(200, this->metricsText(), KeepOpen, {},
+                                    "text/plain; version=0.0.4"),
+                        KeepOpen);
+          }),
+          MaxPageConnections),
       Signals(this->Control, SIGTERM, SIGINT, SIGHUP), StopTimer(this->Control),
       SettingsTimer(this->Control),
       SettingsModified(modificationTime(this->SettingsPath)) {
@@ -171,6 +186,7 @@
   for (std::uint32_t Count = 0; Count < this->Settings.Cores; ++Count) {
     this->Workers.push_back(std::make_unique<WorkerThread>(
         this->Protocol, this->View, this->InFlight, this->Messages,
+        this->Resources.Connections / this->Settings.Cores,
         (std::uint64_t(Entropy()) << 32) + Entropy(), Count,
         this->Settings.Cores, [this](RequestCrashEvent Event) {
           asio::post(this->Control, [this, Event = std::move(Event)] {
@@ -225,6 +241,16 @@
     ProcessMetrics.set("configuration_version", "",
                        static_cast<double>(static_cast<std::uint64_t>(
                            Current->Config->Version)));
+  std::uint64_t Evictions = 0;
+  std::size_t Connections = 0;
+  for (const auto &Worker : this->Workers) {
+    Evictions += Worker->evictions();
+    Connections += Worker->connections();
+  }
+  ProcessMetrics.set("caller_connections", "",
+                     static_cast<double>(Connections));
+  ProcessMetrics.set("callers_evicted_total", "",
+                     static_cast<double>(Evictions));
   std::string Text = ProcessMetrics.toText();
   for (const auto &Worker : this->Workers)
     Text += Worker->counters().toText();
@@ -314,7 +340,7 @@
   }
   const bool TimeOver = this->RequestsEndedAt &&
                         Now - *this->RequestsEndedAt >= this->Stops.FlushTime;
-  // The count of connections lags by one tick of the worker threads.
+  // Connections that were accepted last may not be counted yet.
   const bool Settled =
       Age >= this->Stops.KeepAccepting + std::chrono::milliseconds(200);
   if ((this->IdleClosed && Settled && Open == 0) || TimeOver) {
--- a/balsamyard/src/Process/Node.h
+++ b/balsamyard/src/Process/Node.h
@@ -1,11 +1,12 @@
 #pragma once
 
-#include "balsamyard/src/Connection/ServerConnection.h"
+#include "balsamyard/src/Connection/Listener.h"
 #include "balsamyard/src/Connection/TargetChannel.h"
 #include "balsamyard/src/Process/FleetAgent.h"
 #include "balsamyard/src/Process/Metrics.h"
 #include "balsamyard/src/Process/NodeSettings.h"
 #include "balsamyard/src/Process/PlatformAdapter.h"
+#include "balsamyard/src/Process/ResourceLimits.h"
 #include "balsamyard/src/Request/RequestRun.h"
 
 #include <asio/io_context.hpp>
@@ -47,7 +48,8 @@
 public:
   WorkerThread(const TargetProtocol &Protocol, const RcuCell<FleetView> &View,
                std::atomic<std::uint32_t> &InFlight, MessageMemory &Messages,
-               std::uint64_t Seed, std::size_t Number, std::size_t Threads,
+               std::size_t MaxCallers, std::uint64_t Seed, std::size_t Number,
+               std::size_t Threads,
                std::function<void(RequestCrashEvent)> OnCrashEvent);
 
   /// \brief Listens for callers; throws std::system_error on failure.
@@ -74,13 +76,15 @@
   /// contention between requests.
   const Metrics &counters() const { return this->Counters; }
 
-  /// \returns the number of open caller connections as of the last tick.
-  std::size_t connections() const {
-    return this->ConnectionCount.load(std::memory_order_relaxed);
-  }
+  /// \returns the number of open caller connections.
+  std::size_t connections() const { return this->Callers.connections(); }
+
+  /// \returns how many of them were closed to make room for others.
+  std::uint64_t evictions() const { return this->Callers.evictions(); }
 
 private:
   void tick();
+  void logEvictions();
 
   /// How often deadlines and idle connections are checked.
   static constexpr Duration TickInterval = std::chrono::milliseconds(100);
@@ -94,7 +98,7 @@
   RequestContext Context;
   Listener Callers;
   asio::steady_timer Timer;
-  std::atomic<std::size_t> ConnectionCount{0};
+  std::uint64_t LoggedEvictions = 0;
   std::thread Thread;
 };
 
@@ -122,6 +126,10 @@
   std::uint16_t readinessPort() const { return this->Readiness.port(); }
 
 private:
+  /// Connections to the readiness page and to the metrics page, each. The load
+  /// balancer and a collector of metrics need a few.
+  static constexpr std::size_t MaxPageConnections = 64;
+
   std::string metricsText() const;
   void onReadinessRequest(ServerConnection &Peer, const HttpRequest &Request);
   void onSignal(int Number);
@@ -136,6 +144,7 @@
   const SettingsReader ReadSettings;
   const std::string SettingsPath;
   const StopTimes Stops;
+  const ResourceLimits Resources;
   const TargetProtocol Protocol;
   RcuCell<FleetView> View;
   std::atomic<std::uint32_t> InFlight{0};
--- a/balsamyard/src/Process/NodeSettings.h
+++ b/balsamyard/src/Process/NodeSettings.h
@@ -3,6 +3,7 @@
 #include "balsamyard/src/Core/Names.h"
 #include "balsamyard/src/Core/Time.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 
@@ -53,6 +54,11 @@
 
   /// Processor time per second, in thousandths of a core.
   std::uint32_t Capacity = 1000;
+
+  /// Memory and open descriptors that the process may use.
+  std::size_t MemoryBytes = 256'000'000;
+  std::uint32_t Descriptors = 4096;
+
   bool FirstStart = false; ///< The whole system starts for the first time.
   FleetBounds Bounds;
 };
--- /dev/null
+++ b/balsamyard/src/Process/ResourceLimits.cpp
@@ -0,0 +1,20 @@
+#include "balsamyard/src/Process/ResourceLimits.h"
+
+#include <algorithm>
+
+namespace balsamyard {
+
+ResourceLimits divideResources(const NodeSettings &Settings) {
+  ResourceLimits Result;
+  // The other half of the descriptors is for targets, other nodes, the store
+  // and files; the other half of the memory for counted messages and for what
+  // does not depend on callers.
+  Result.Connections =
+      std::max(std::min<std::size_t>(Settings.Descriptors / 2,
+                                     Settings.MemoryBytes / 2 /
+                                         ResourceLimits::ConnectionBytes),
+               ResourceLimits::MinConnections);
+  return Result;
+}
+
+} // namespace balsamyard
--- a/tests/path/FakeFleet.h
+++ b/tests/path/FakeFleet.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "balsamyard/src/Connection/HttpLink.h"
-#include "balsamyard/src/Connection/ServerConnection.h"
+#include "balsamyard/src/Connection/Listener.h"
 #include "balsamyard/src/Connection/TargetProtocol.h"
 #include "balsamyard/src/Core/Overload.h"
 
--- a/tests/soak/SoakTarget.h
+++ b/tests/soak/SoakTarget.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "balsamyard/src/Connection/ServerConnection.h"
+#include "balsamyard/src/Connection/Listener.h"
 #include "tests/soak/Ledger.h"
 #include "tests/soak/Proxy.h"
 
