Answers: keep to their memory when callers do not read them

Callers saw: a process ran out of memory; before that, new callers of long answers were refused for ever. Cause: nothing ended an answer that its caller did not take, so it kept its memory, share and descriptor; the limit of 64 MiB was a constant whatever the machine had; an answer that was ready was counted whether it fitted or not, with a second copy of its body; and the kernel took up to 4 MiB more of it on each connection.

- Memory of answers is a quarter, of requests an eighth of what the settings grant.
- The body of a forwarded answer is moved, not copied, and keeps the share it was read with.
- The kernel takes at most 16 KiB that it has not sent (TCP_NOTSENT_LOWAT), plus a segment.
A small send buffer was tried first and dropped: on loopback, whose segments are larger than it, each one waited for a delayed acknowledgement, and 6 MiB took more than 2 s.
- An answer that stalls for the idle timeout ends.
While more than half of the memory is used, those that hold some and have stalled longest end after 100 ms already.
Progress counts, not total time, so a slow reader is not cut off while there is memory.

ConnectionMemoryTest names the memory of answers now; its checks are the same.

--- a/balsamyard/src/Connection/ConnectionTable.cpp
+++ b/balsamyard/src/Connection/ConnectionTable.cpp
@@ -18,11 +18,15 @@
       [](const ServerConnection &Open) { return !Open.isHandling(); });
   if (Silent == this->Connections.end())
     return false;
-  this->Evictions.fetch_add(1, std::memory_order_relaxed);
-  Ref<ServerConnection>(&*Silent)->evict();
+  this->evict(*Silent);
   return true;
 }
 
+void ConnectionTable::evict(ServerConnection &Open) {
+  this->Evictions.fetch_add(1, std::memory_order_relaxed);
+  Ref<ServerConnection>(&Open)->evict();
+}
+
 void ConnectionTable::add(ServerConnection &Opened) {
   this->Connections.push_back(Opened);
   this->Count.fetch_add(1, std::memory_order_relaxed);
@@ -31,9 +35,35 @@
 void ConnectionTable::touch(ServerConnection &Active) {
   this->Connections.splice(this->Connections.end(), this->Connections,
                            this->Connections.iterator_to(Active));
+  if (Active.WriterHook.is_linked())
+    this->Writers.splice(this->Writers.end(), this->Writers,
+                         this->Writers.iterator_to(Active));
+}
+
+void ConnectionTable::beginWriting(ServerConnection &Writer) {
+  this->Writers.push_back(Writer);
+}
+
+void ConnectionTable::endWriting(ServerConnection &Writer) {
+  this->Writers.erase(this->Writers.iterator_to(Writer));
+}
+
+void ConnectionTable::endStalled(TimePoint Now, const MessageMemory *Answers) {
+  for (auto Next = this->Writers.begin(); Next != this->Writers.end();) {
+    ServerConnection &Writer = *Next++;
+    if (Writer.isStalled(Now))
+      this->evict(Writer);
+    else if (Writer.stalledFor(Now) < MinStall || Answers == nullptr ||
+             !Answers->isScarce())
+      return;
+    else if (Writer.holdsMemory())
+      this->evict(Writer);
+  }
 }
 
 void ConnectionTable::remove(ServerConnection &Closed) {
+  if (Closed.WriterHook.is_linked())
+    this->endWriting(Closed);
   this->Connections.erase(this->Connections.iterator_to(Closed));
   this->Count.fetch_sub(1, std::memory_order_relaxed);
 }
--- a/balsamyard/src/Connection/ConnectionTable.h
+++ b/balsamyard/src/Connection/ConnectionTable.h
@@ -35,6 +35,16 @@
 
   void remove(ServerConnection &Closed);
 
+  /// \brief Notes that an answer waits for its peer, from now until
+  /// endWriting() or remove().
+  void beginWriting(ServerConnection &Writer);
+  void endWriting(ServerConnection &Writer);
+
+  /// \brief Closes connections whose peer takes nothing of its answer: those
+  /// that have stalled for their idle timeout, and while \p Answers is scarce,
+  /// those that hold a part of it and have stalled longest.
+  void endStalled(TimePoint Now, const MessageMemory *Answers);
+
   /// \returns all open connections.
   std::vector<Ref<ServerConnection>> open();
 
@@ -42,20 +52,28 @@
     return this->Count.load(std::memory_order_relaxed);
   }
 
-  /// \returns how many connections were closed to make room for others.
+  /// \returns how many connections were closed to make room for others, or
+  /// because their answers stalled.
   std::uint64_t evictions() const {
     return this->Evictions.load(std::memory_order_relaxed);
   }
 
 private:
+  /// Also on a slow network, a peer that reads takes something within this
+  /// time.
+  static constexpr Duration MinStall = std::chrono::milliseconds(100);
+
+  using Hook = boost::intrusive::list_member_hook<>;
+  template <Hook ServerConnection::*Position>
   using List = boost::intrusive::list<
       ServerConnection,
-      boost::intrusive::member_hook<ServerConnection,
-                                    boost::intrusive::list_member_hook<>,
-                                    &ServerConnection::Hook>>;
+      boost::intrusive::member_hook<ServerConnection, Hook, Position>>;
+
+  void evict(ServerConnection &Open);
 
   const std::size_t Capacity;
-  List Connections;
+  List<&ServerConnection::Hook> Connections;
+  List<&ServerConnection::WriterHook> Writers; ///< Longest stalled first.
   std::atomic<std::size_t> Count{0};
   std::atomic<std::uint64_t> Evictions{0};
 };
--- a/balsamyard/src/Connection/Listener.cpp
+++ b/balsamyard/src/Connection/Listener.cpp
@@ -2,6 +2,8 @@
 
 #include "balsamyard/src/Core/Log.h"
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 namespace balsamyard {
@@ -18,6 +20,14 @@
   // Several I/O threads listen on the same address.
   ::setsockopt(this->Acceptor.native_handle(), SOL_SOCKET, SO_REUSEPORT, &On,
                sizeof(On));
+  // Accepted sockets inherit both limits. The receive buffer has to be set
+  // before a connection is established, as it determines the scale of the
+  // window.
+  this->Acceptor.set_option(
+      asio::socket_base::receive_buffer_size(ReceiveBufferBytes));
+  const int Unsent = MaxUnsentBytes;
+  ::setsockopt(this->Acceptor.native_handle(), IPPROTO_TCP, TCP_NOTSENT_LOWAT,
+               &Unsent, sizeof(Unsent));
   this->Acceptor.bind(At);
   this->Acceptor.listen();
   this->accept();
--- a/balsamyard/src/Connection/Listener.h
+++ b/balsamyard/src/Connection/Listener.h
@@ -37,6 +37,12 @@
   /// \returns the open connections.
   std::vector<Ref<ServerConnection>> open() { return this->Table.open(); }
 
+  /// \brief Closes connections whose peers take nothing of their answers.
+  /// \sa ConnectionTable::endStalled
+  void endStalled(TimePoint Now, const MessageMemory *Answers = nullptr) {
+    this->Table.endStalled(Now, Answers);
+  }
+
   /// \returns the number of open connections; may be called from any thread.
   std::size_t connections() const { return this->Table.size(); }
 
@@ -48,6 +54,15 @@
   void accept();
   void onAccepted(asio::ip::tcp::socket Socket);
 
+  /// Bytes of an answer that the kernel takes before it sends them. Otherwise
+  /// it takes megabytes that the peer may never read. Those that are on their
+  /// way do not count, so that the network is used in full.
+  static constexpr int MaxUnsentBytes = 16 * 1024;
+
+  /// Bytes of requests that the kernel takes while nobody reads them; it
+  /// doubles the value.
+  static constexpr int ReceiveBufferBytes = 32 * 1024;
+
   /// Pause after a failed accept. Without it, a process without free
   /// descriptors would retry in a busy loop.
   static constexpr Duration AcceptRetryPause = std::chrono::milliseconds(100);
--- a/balsamyard/src/Connection/ServerConnection.cpp
+++ b/balsamyard/src/Connection/ServerConnection.cpp
@@ -125,43 +125,62 @@
   this->read();
 }
 
-void ServerConnection::answer(std::string Message, bool KeepOpen) {
+void ServerConnection::answer(EncodedMessage Message, bool KeepOpen) {
   if (this->CurrentState != State::Handling)
     return;
   this->CurrentState = State::Writing;
   this->KeepAfterWrite = KeepOpen;
   this->Outgoing = std::move(Message);
-  this->OutgoingShare =
-      shareOfReadyMessage(this->Limits.Message.Memory, this->Outgoing.size());
+  if (!this->Outgoing.Share)
+    this->Outgoing.Share =
+        shareOfReadyMessage(this->Limits.Answers, this->Outgoing.size());
+  if (this->Table != nullptr)
+    this->Table->beginWriting(*this);
+  this->noteProgress();
+  const std::array<asio::const_buffer, 2> Parts = {
+      asio::buffer(this->Outgoing.Head), asio::buffer(this->Outgoing.Body)};
   const Ref<ServerConnection> Self(this);
-  asio::async_write(this->Socket, asio::buffer(this->Outgoing),
-                    [Self](const asio::error_code &Problem, std::size_t) {
-                      std::string().swap(Self->Outgoing);
-                      Self->OutgoingShare = nullptr;
-                      if (Self->CurrentState != State::Writing)
-                        return;
-                      if (Problem) {
-                        Self->close();
-                        return;
-                      }
-                      // The answer may have been written before the process
-                      // began to stop.
-                      const bool Closes =
-                          Self->CloseWhenIdle && Self->Unparsed.empty();
-                      if (!Self->KeepAfterWrite || Closes) {
-                        Self->linger();
-                        return;
-                      }
-                      Self->CurrentState = State::Reading;
-                      Self->noteActivity();
-                      Self->Limits = Self->Hooks.Limits();
-                      Self->Parser.limit(Self->Limits.Message);
-                      Self->armTimer(Self->Limits.IdleTimeout);
-                      if (Self->Unparsed.empty())
-                        Self->read();
-                      else
-                        Self->parse();
-                    });
+  asio::async_write(
+      this->Socket, Parts,
+      [Self](const asio::error_code &Problem, std::size_t Written) {
+        if (Written > 0)
+          Self->noteProgress();
+        return asio::transfer_all()(Problem, Written);
+      },
+      [Self](const asio::error_code &Problem, std::size_t) {
+        Self->onWritten(Problem);
+      });
+}
+
+void ServerConnection::onWritten(const asio::error_code &Problem) {
+  this->Outgoing = {};
+  if (this->CurrentState != State::Writing)
+    return;
+  if (this->Table != nullptr)
+    this->Table->endWriting(*this);
+  if (Problem) {
+    this->close();
+    return;
+  }
+  // The answer may have been written before the process began to stop.
+  const bool Closes = this->CloseWhenIdle && this->Unparsed.empty();
+  if (!this->KeepAfterWrite || Closes) {
+    this->linger();
+    return;
+  }
+  this->CurrentState = State::Reading;
+  this->Limits = this->Hooks.Limits();
+  this->Parser.limit(this->Limits.Message);
+  this->armTimer(this->Limits.IdleTimeout);
+  if (this->Unparsed.empty())
+    this->read();
+  else
+    this->parse();
+}
+
+void ServerConnection::noteProgress() {
+  this->ProgressAt = steadyNow();
+  this->noteActivity();
 }
 
 void ServerConnection::reject(const HttpMalformed &Fault) {
--- a/balsamyard/src/Connection/ServerConnection.h
+++ b/balsamyard/src/Connection/ServerConnection.h
@@ -15,8 +15,15 @@
 
 /// \brief Bounds of one incoming connection.
 struct ServerLimits {
-  HttpLimits Message;
+  HttpLimits Message; ///< Of requests.
+
+  /// Counts answers until the peer has taken them; nullptr counts nothing.
+  MessageMemory *Answers = nullptr;
+
   Duration HeaderTimeout = std::chrono::seconds(10);
+
+  /// How long the connection may stay open without a request, without bytes of
+  /// a body, or without progress of an answer.
   Duration IdleTimeout = std::chrono::seconds(60);
 };
 
@@ -58,7 +65,10 @@
 
   /// \brief Sends the answer of the request that was reported. \p KeepOpen
   /// tells whether the message keeps the connection open.
-  void answer(std::string Message, bool KeepOpen);
+  void answer(EncodedMessage Message, bool KeepOpen);
+  void answer(std::string Message, bool KeepOpen) {
+    this->answer(EncodedMessage{std::move(Message), {}, nullptr}, KeepOpen);
+  }
 
   /// \returns whether the answer to the current request may leave the
   /// connection open.
@@ -81,14 +91,26 @@
   /// \returns whether a request of the peer is at work.
   bool isHandling() const { return this->CurrentState == State::Handling; }
 
+  /// \returns how long the peer has not taken any byte of the answer.
+  Duration stalledFor(TimePoint Now) const { return Now - this->ProgressAt; }
+
+  /// \returns whether no answer may stall for as long.
+  bool isStalled(TimePoint Now) const {
+    return this->stalledFor(Now) >= this->Limits.IdleTimeout;
+  }
+
+  /// \returns whether the answer is counted in the memory of answers.
+  bool holdsMemory() const { return this->Outgoing.Share != nullptr; }
+
   /// \brief Removes the connection from its table.
   void leaveTable();
 
   /// \brief Data of the owner for the running request.
   void *Attached = nullptr;
 
-  /// Position in the table of the listener.
+  /// Positions in the table of the listener.
   boost::intrusive::list_member_hook<> Hook;
+  boost::intrusive::list_member_hook<> WriterHook;
 
 private:
   enum class State { Reading, Handling, Writing, Lingering, Closed };
@@ -103,6 +125,8 @@
   void onTimer();
   void linger();
   void noteActivity();
+  void noteProgress();
+  void onWritten(const asio::error_code &Problem);
 
   asio::ip::tcp::socket Socket;
   asio::steady_timer Timer;
@@ -112,8 +136,8 @@
   ServerLimits Limits;
   std::array<char, 4096> Buffer;
   std::string Unparsed;
-  std::string Outgoing; ///< Until it is written.
-  Ref<MessageShare> OutgoingShare;
+  EncodedMessage Outgoing; ///< Until it is written.
+  TimePoint ProgressAt{};  ///< When the peer last took a part of it.
   State CurrentState = State::Reading;
   bool PeerKeepsOpen = true;
   bool Stopping = false;
--- a/balsamyard/src/Connection/TargetProtocol.cpp
+++ b/balsamyard/src/Connection/TargetProtocol.cpp
@@ -44,14 +44,13 @@
       .append("\r\n");
 }
 
-void appendEnd(std::string &Message, std::string_view Body, bool KeepAlive,
-               bool WithBody) {
-  appendField(Message, "Content-Length", std::to_string(Body.size()));
+/// Appends the fields that frame the body, and the empty line.
+void appendHeadEnd(std::string &Message, std::size_t BodyBytes,
+                   bool KeepAlive) {
+  appendField(Message, "Content-Length", std::to_string(BodyBytes));
   if (!KeepAlive)
     appendField(Message, "Connection", "close");
   Message.append("\r\n");
-  if (WithBody)
-    Message.append(Body);
 }
 
 /// Seconds with three decimals; callers accept fractions in Retry-After.
@@ -73,7 +72,8 @@
   if (RetryAfter > Duration::zero())
     appendField(Message, "Retry-After", secondsText(RetryAfter));
   appendField(Message, "Content-Type", ContentType);
-  appendEnd(Message, Text, KeepAlive, true);
+  appendHeadEnd(Message, Text.size(), KeepAlive);
+  Message.append(Text);
   return Message;
 }
 
@@ -244,42 +244,46 @@
   return Answer;
 }
 
-std::string TargetProtocol::answer(const CallerAnswer &Outcome, bool KeepAlive,
-                                   bool WithBody) const {
-  return std::visit(
-      Overload{[&](const MergedAnswer &Merged) {
-                 std::string Message;
-                 appendStatusLine(Message, 200);
+EncodedMessage TargetProtocol::answer(CallerAnswer Outcome, bool KeepAlive,
+                                      bool WithBody) const {
+  EncodedMessage Result;
+  std::string &Head = Result.Head;
+  const auto AppendBody = [&](std::string &&Body) {
+    appendHeadEnd(Head, Body.size(), KeepAlive);
+    if (WithBody)
+      Result.Body = std::move(Body);
+  };
+  std::visit(
+      Overload{[&](MergedAnswer &Merged) {
+                 appendStatusLine(Head, 200);
                  std::string List;
                  for (const std::string &Receipt : Merged.Receipts)
                    List.append(List.empty() ? "" : ", ").append(Receipt);
-                 appendField(Message, this->Names.Receipts, List);
-                 appendField(Message, this->Names.MissingParts,
+                 appendField(Head, this->Names.Receipts, List);
+                 appendField(Head, this->Names.MissingParts,
                              std::to_string(Merged.MissingParts));
-                 appendField(Message, "Content-Type",
-                             "application/octet-stream");
-                 appendEnd(Message, Merged.Records, KeepAlive, WithBody);
-                 return Message;
+                 appendField(Head, "Content-Type", "application/octet-stream");
+                 AppendBody(std::move(Merged.Records));
                },
-               [&](const ForwardedAnswer &Forwarded) {
-                 const HttpResponse &Response = Forwarded.Response;
-                 std::string Message;
-                 appendStatusLine(Message, Response.Status);
+               [&](ForwardedAnswer &Forwarded) {
+                 HttpResponse &Response = Forwarded.Response;
+                 appendStatusLine(Head, Response.Status);
                  for (const HttpField &Field : Response.Fields)
                    if (!isHopByHop(Response.Fields, Field.Name) &&
                        !sameHeaderName(Field.Name, "content-length"))
-                     appendField(Message, Field.Name, Field.Value);
-                 appendEnd(Message, Response.Body, KeepAlive, WithBody);
-                 return Message;
+                     appendField(Head, Field.Name, Field.Value);
+                 AppendBody(std::move(Response.Body));
+                 Result.Share = std::move(Response.BodyShare);
                },
                [&](const NotExecutedAnswer &Refused) {
-                 return plainAnswer(503, Refused.Reason, KeepAlive,
+                 Head = plainAnswer(503, Refused.Reason, KeepAlive,
                                     Refused.RetryAfter);
                },
                [&](const FailedAnswer &Failed) {
-                 return plainAnswer(Failed.Status, Failed.Reason, KeepAlive);
+                 Head = plainAnswer(Failed.Status, Failed.Reason, KeepAlive);
                }},
       Outcome);
+  return Result;
 }
 
 } // namespace balsamyard
--- a/balsamyard/src/Connection/TargetProtocol.h
+++ b/balsamyard/src/Connection/TargetProtocol.h
@@ -89,8 +89,8 @@
   bool announcesDeparture(const HttpResponse &Response) const;
 
   /// \returns the message that carries an outcome to the caller.
-  std::string answer(const CallerAnswer &Outcome, bool KeepAlive,
-                     bool WithBody) const;
+  EncodedMessage answer(CallerAnswer Outcome, bool KeepAlive,
+                        bool WithBody) const;
 
 private:
   const HeaderNames Names;
--- a/balsamyard/src/Core/Http.h
+++ b/balsamyard/src/Core/Http.h
@@ -66,6 +66,16 @@
   bool KeepAlive = true;
 };
 
+/// \brief A message that is ready to be sent. Its body is apart, so that it
+/// need not be copied.
+struct EncodedMessage {
+  std::string Head; ///< Up to the empty line; all of it if Body is empty.
+  std::string Body;
+  Ref<MessageShare> Share; ///< Of a large message.
+
+  std::size_t size() const { return this->Head.size() + this->Body.size(); }
+};
+
 /// \returns whether a field is hop-by-hop and must not be forwarded: the fields
 /// of RFC 9110, section 7.6.1, and those that the Connection field of \p Fields
 /// lists.
--- a/balsamyard/src/Core/MessageMemory.h
+++ b/balsamyard/src/Core/MessageMemory.h
@@ -9,11 +9,11 @@
 
 namespace balsamyard {
 
-/// \brief Limits the memory of all large messages of a process together: bodies
-/// that are read or held, and messages that wait to be sent.
+/// \brief Limits the memory of messages of a process together: those that are
+/// read or held, and those that wait to be sent.
 ///
 /// Each connection has a limit of its own, but a process has thousands of them.
-/// A body may grow only while as much as its whole length stays free, so the
+/// A message may grow only while as much as its whole length stays free, so the
 /// largest ones end first and the others still find room. One whose length is
 /// not known in advance, which may have no end, needs three times its size, and
 /// leaves a quarter of the memory to the others.
@@ -30,6 +30,10 @@
     return this->Used.load(std::memory_order_relaxed);
   }
 
+  /// \returns whether so much is used that those who hold memory without need
+  /// should give it back.
+  bool isScarce() const { return this->used() > this->Capacity / 2; }
+
   /// \returns how many messages were not allowed to grow so far.
   std::uint64_t refusals() const {
     return this->Refusals.load(std::memory_order_relaxed);
--- a/balsamyard/src/Process/Node.cpp
+++ b/balsamyard/src/Process/Node.cpp
@@ -19,13 +19,14 @@
   return {asio::ip::make_address(Source.Address), Source.Port};
 }
 
-ServerLimits limitsOf(const FleetView &View, MessageMemory &Messages) {
+ServerLimits limitsOf(const FleetView &View, CallerMemory &Memory) {
   ServerLimits Result;
-  Result.Message.Memory = &Messages;
+  Result.Message.Memory = &Memory.Requests;
+  Result.Answers = &Memory.Answers;
   if (!View.Config)
     return Result;
   const CallerLimits &Limits = View.Config->Limits;
-  Result.Message = {Limits.HeaderBytes, Limits.BodyBytes, &Messages};
+  Result.Message = {Limits.HeaderBytes, Limits.BodyBytes, &Memory.Requests};
   Result.HeaderTimeout = Limits.HeaderTimeout;
   Result.IdleTimeout = Limits.IdleTimeout;
   return Result;
@@ -59,13 +60,13 @@
 WorkerThread::WorkerThread(const TargetProtocol &Protocol,
                            const RcuCell<FleetView> &View,
                            std::atomic<std::uint32_t> &InFlight,
-                           MessageMemory &Messages, std::size_t MaxCallers,
+                           CallerMemory &Memory, std::size_t MaxCallers,
                            std::uint64_t Seed, std::size_t Number,
                            std::size_t Threads,
                            std::function<void(RequestCrashEvent)> OnCrashEvent)
-    : Io(1), Work(asio::make_work_guard(this->Io)), View(View),
-      Messages(Messages),
-      Channels(this->Io, Protocol, Threads, HttpLimits{.Memory = &Messages}),
+    : Io(1), Work(asio::make_work_guard(this->Io)), View(View), Memory(Memory),
+      Channels(this->Io, Protocol, Threads,
+               HttpLimits{.Memory = &Memory.Answers}),
       Context{this->Io,
               this->Channels,
               Protocol,
@@ -84,7 +85,7 @@
               [](ServerConnection &Caller) {
                 RequestRun::callerDisconnected(Caller);
               },
-              [this] { return limitsOf(*this->View.read(), this->Messages); }},
+              [this] { return limitsOf(*this->View.read(), this->Memory); }},
           MaxCallers),
       Timer(this->Io) {}
 
@@ -131,6 +132,7 @@
 
 void WorkerThread::tick() {
   this->Channels.tick(steadyNow());
+  this->Callers.endStalled(steadyNow(), &this->Memory.Answers);
   this->logEvictions();
   this->Context.NextTick = steadyNow() + TickInterval;
   this->Timer.expires_at(this->Context.NextTick);
@@ -185,7 +187,7 @@
   std::random_device Entropy;
   for (std::uint32_t Count = 0; Count < this->Settings.Cores; ++Count) {
     this->Workers.push_back(std::make_unique<WorkerThread>(
-        this->Protocol, this->View, this->InFlight, this->Messages,
+        this->Protocol, this->View, this->InFlight, this->Memory,
         this->Resources.Connections / this->Settings.Cores,
         (std::uint64_t(Entropy()) << 32) + Entropy(), Count,
         this->Settings.Cores, [this](RequestCrashEvent Event) {
@@ -225,10 +227,15 @@
   Metrics ProcessMetrics;
   ProcessMetrics.set("node_ready", "", this->isReady() ? 1 : 0);
   ProcessMetrics.set("requests_in_flight", "", this->InFlight.load());
-  ProcessMetrics.set("message_memory_bytes", "",
-                     static_cast<double>(this->Messages.used()));
-  ProcessMetrics.set("messages_refused_total", "",
-                     static_cast<double>(this->Messages.refusals()));
+  const auto SetMemory = [&](const std::string &Labels,
+                             const MessageMemory &Messages) {
+    ProcessMetrics.set("message_memory_bytes", Labels,
+                       static_cast<double>(Messages.used()));
+    ProcessMetrics.set("messages_refused_total", Labels,
+                       static_cast<double>(Messages.refusals()));
+  };
+  SetMemory("of=\"requests\"", this->Memory.Requests);
+  SetMemory("of=\"answers\"", this->Memory.Answers);
   ProcessMetrics.set("nodes_counted", "", Current->Shares.Nodes);
   ProcessMetrics.set("store_read", "", this->Agent.readsStore() ? 1 : 0);
   ProcessMetrics.set("followers", "",
@@ -299,7 +306,14 @@
   this->Agent.reload(*Next);
 }
 
+void Node::checkPages() {
+  const TimePoint Now = steadyNow();
+  this->Readiness.endStalled(Now);
+  this->MetricsPage.endStalled(Now);
+}
+
 void Node::checkSettings() {
+  this->checkPages();
   if (modificationTime(this->SettingsPath) != this->SettingsModified)
     this->reload("file");
   this->SettingsTimer.expires_after(SettingsCheckInterval);
--- a/balsamyard/src/Process/Node.h
+++ b/balsamyard/src/Process/Node.h
@@ -38,16 +38,21 @@
   Duration CheckInterval = std::chrono::milliseconds(50);
 };
 
-/// \brief Memory of a process for large messages; docs/CAPACITY.md has the sum
-/// that it is part of.
-inline constexpr std::size_t MessageMemoryBytes = 64UL * 1024 * 1024;
+/// \brief Memory of a process for the messages of its callers.
+struct CallerMemory {
+  explicit CallerMemory(const ResourceLimits &Resources)
+      : Requests(Resources.RequestBytes), Answers(Resources.AnswerBytes) {}
+
+  MessageMemory Requests;
+  MessageMemory Answers; ///< From the targets, until the callers took them.
+};
 
 /// \brief A thread that serves callers and owns its connections to callers and
 /// targets.
 class WorkerThread {
 public:
   WorkerThread(const TargetProtocol &Protocol, const RcuCell<FleetView> &View,
-               std::atomic<std::uint32_t> &InFlight, MessageMemory &Messages,
+               std::atomic<std::uint32_t> &InFlight, CallerMemory &Memory,
                std::size_t MaxCallers, std::uint64_t Seed, std::size_t Number,
                std::size_t Threads,
                std::function<void(RequestCrashEvent)> OnCrashEvent);
@@ -92,7 +97,7 @@
   asio::io_context Io;
   asio::executor_work_guard<asio::io_context::executor_type> Work;
   const RcuCell<FleetView> &View;
-  MessageMemory &Messages;
+  CallerMemory &Memory;
   Metrics Counters;
   TargetChannels Channels;
   RequestContext Context;
@@ -136,6 +141,7 @@
   void beginStop();
   void checkStop();
   void checkSettings();
+  void checkPages();
   void reload(const char *Cause);
   bool isReady() const;
 
@@ -148,7 +154,7 @@
   const TargetProtocol Protocol;
   RcuCell<FleetView> View;
   std::atomic<std::uint32_t> InFlight{0};
-  MessageMemory Messages{MessageMemoryBytes};
+  CallerMemory Memory{this->Resources};
   std::vector<std::unique_ptr<WorkerThread>> Workers;
   asio::io_context Control;
   FleetAgent Agent;
--- a/balsamyard/src/Process/ResourceLimits.cpp
+++ b/balsamyard/src/Process/ResourceLimits.cpp
@@ -14,6 +14,8 @@
                                      Settings.MemoryBytes / 2 /
                                          ResourceLimits::ConnectionBytes),
                ResourceLimits::MinConnections);
+  Result.RequestBytes = Settings.MemoryBytes / 8;
+  Result.AnswerBytes = Settings.MemoryBytes / 4;
   return Result;
 }
 
--- a/balsamyard/src/Process/ResourceLimits.h
+++ b/balsamyard/src/Process/ResourceLimits.h
@@ -11,14 +11,16 @@
 /// docs/CAPACITY.md has the sums.
 struct ResourceLimits {
   /// Memory that one connection of a caller may take without being counted: its
-  /// object and small messages (16 KiB), and the buffers of its socket in the
-  /// kernel (64 KiB).
-  static constexpr std::size_t ConnectionBytes = 80UL * 1024;
+  /// object and small messages (16 KiB), and what the kernel has not sent
+  /// (64 KiB, as it takes whole segments) and nobody has read (64 KiB).
+  static constexpr std::size_t ConnectionBytes = 144UL * 1024;
 
   /// A process that may hold fewer connections serves nobody well.
   static constexpr std::size_t MinConnections = 16;
 
-  std::size_t Connections = 0; ///< Of callers.
+  std::size_t Connections = 0;  ///< Of callers.
+  std::size_t RequestBytes = 0; ///< Counted parts of requests.
+  std::size_t AnswerBytes = 0;  ///< Answers that are read, held and sent.
 };
 
 /// \returns the shares of what the platform grants a node.
--- a/balsamyard/src/Request/RequestRun.cpp
+++ b/balsamyard/src/Request/RequestRun.cpp
@@ -263,12 +263,12 @@
 }
 
 void RequestRun::on(const ScatterFinished &) {
-  const CallerAnswer Answer = this->Decisions.takeOutcome();
+  CallerAnswer Answer = this->Decisions.takeOutcome();
   this->log(Answer, steadyNow());
   this->reportOutcome(Answer);
   const bool KeepOpen = this->Caller->mayKeepOpen();
-  std::string Message = this->Context.Protocol.answer(
-      Answer, KeepOpen, this->Request.Method != "HEAD");
+  EncodedMessage Message = this->Context.Protocol.answer(
+      std::move(Answer), KeepOpen, this->Request.Method != "HEAD");
   const Ref<ServerConnection> Connection = this->Caller;
   RequestContext &Shared = this->Context;
   const std::optional<TimePoint> Goal = this->Decisions.endedAtGoal();
--- a/tests/path/ConnectionMemoryTest.cpp
+++ b/tests/path/ConnectionMemoryTest.cpp
@@ -28,6 +28,7 @@
                            [this] {
                              ServerLimits Limits;
                              Limits.Message.Memory = &this->Memory;
+                             Limits.Answers = &this->Memory;
                              return Limits;
                            }}) {
     this->Server.listen({asio::ip::make_address("127.0.0.1"), 0});
