Parser: count the bytes of a head as they were sent

Callers saw: 431 for a request within the limit of the configuration, if its fields are short. Cause: each field counted 4 bytes for its colon and line end, but "a:" needs 3, so a head of 16,384 bytes counted as more than 20,000.

--- a/balsamyard/src/Connection/HttpParser.cpp
+++ b/balsamyard/src/Connection/HttpParser.cpp
@@ -167,8 +167,8 @@
     Self.LastWasValue = false;
     Self.Fields.last().Name.append(At, Length);
   }
-  // 4 bytes for ": " and the line end.
-  return Self.addHeaderBytes(Length + 4);
+  // 3 bytes for the colon and the line end.
+  return Self.addHeaderBytes(Length + 3);
 }
 
 int onHeaderValue(http_parser *Parser, const char *At, std::size_t Length) {
