Parser: count the memory of heads

Callers saw: 3,500 connections that send 12 to 60 KB of a head without its end take 500 MB. Cause: heads were in no sum, and their fields cost up to 16 times their bytes: two strings each, in a vector that doubles.

Now the memory of fields counts like that of bodies, by what it costs, together with the body, as long as the request is held. A request for which no memory is left is refused with 503 and Retry-After before it runs, and what was read of it is dropped at once instead of after the linger time.

--- a/balsamyard/src/Connection/HttpParser.cpp
+++ b/balsamyard/src/Connection/HttpParser.cpp
@@ -19,7 +19,7 @@
 /// What the next bytes of a message belong to.
 using MessagePart = std::variant<SectionSyntax, BodyPart>;
 
-/// Other bodies have been read after this time.
+/// Other messages have been read after this time.
 constexpr Duration MemoryRetryAfter = std::chrono::milliseconds(300);
 
 /// Message that the callbacks of http-parser build, for requests and responses.
@@ -31,7 +31,8 @@
   std::string RequestTarget;
   HttpFields Fields;
   std::string Body;
-  Ref<MessageShare> BodyShare;
+  Ref<MessageShare> Share;
+  std::size_t CountedBytes = 0;          ///< In Share.
   std::optional<std::size_t> BodyLength; ///< If the head states it.
   std::size_t HeaderBytes = 0;
   bool LastWasValue = true;
@@ -51,8 +52,9 @@
                                       : SectionSyntax(StatusLine());
     this->RequestTarget.clear();
     this->Fields = {};
-    this->Body.clear();
-    this->BodyShare = nullptr;
+    this->Body = {};
+    this->Share = nullptr;
+    this->CountedBytes = 0;
     this->BodyLength.reset();
     this->HeaderBytes = 0;
     this->LastWasValue = true;
@@ -70,6 +72,32 @@
     return 1;
   }
 
+  /// \returns the memory that the fields take, with the reserves of growing
+  /// containers. It is many times the bytes that were received if the fields
+  /// are small.
+  std::size_t headMemory() const {
+    return 2 * (this->HeaderBytes + this->Fields.size() * sizeof(HttpField));
+  }
+
+  /// Counts \p Bytes in total, and more in advance, so that a message is
+  /// counted only a few times. \p Length is the whole length if it is known.
+  bool count(std::size_t Bytes, std::optional<std::size_t> Length) {
+    if (this->Limits.Memory == nullptr || Bytes <= this->CountedBytes ||
+        Bytes <= MessageMemory::UncountedBytes)
+      return true;
+    if (!this->Share)
+      this->Share = makeRef<MessageShare>(*this->Limits.Memory);
+    const std::size_t Wanted =
+        Length ? Bytes : std::max(Bytes, 2 * this->CountedBytes);
+    if (!this->Share->grow(Wanted, Length)) {
+      this->Fault = {503, "no memory is left for the message",
+                     MemoryRetryAfter};
+      return false;
+    }
+    this->CountedBytes = Wanted;
+    return true;
+  }
+
   /// Makes room for \p Count more bytes of the body, at least doubling what
   /// it has, so that it is copied only a few times.
   bool reserveBody(std::size_t Count) {
@@ -79,13 +107,11 @@
     const std::size_t Wanted =
         std::min(std::max(Needed, 2 * this->Body.capacity()),
                  this->BodyLength.value_or(this->Limits.BodyBytes));
-    if (this->Limits.Memory != nullptr &&
-        Wanted > MessageMemory::UncountedBytes) {
-      if (!this->BodyShare)
-        this->BodyShare = makeRef<MessageShare>(*this->Limits.Memory);
-      if (!this->BodyShare->grow(Wanted, this->BodyLength))
-        return false;
-    }
+    // A body that cannot grow any further needs no reserve for it.
+    const bool IsLast = Wanted >= this->Limits.BodyBytes;
+    const std::size_t Total = this->headMemory() + Wanted;
+    if (!this->count(Total, IsLast ? std::optional(Total) : this->BodyLength))
+      return false;
     this->Body.reserve(Wanted);
     return true;
   }
@@ -94,7 +120,7 @@
     this->HeaderBytes += Count;
     if (this->HeaderBytes > this->Limits.HeaderBytes)
       return this->fault(431, "the header section is too large");
-    return 0;
+    return this->count(this->headMemory(), std::nullopt) ? 0 : 1;
   }
 };
 
@@ -228,10 +254,8 @@
   Collector &Self = collector(Parser);
   if (Self.Body.size() + Length > Self.Limits.BodyBytes)
     return Self.fault(413, "the body is too large");
-  if (!Self.reserveBody(Length)) {
-    Self.Fault = {503, "no memory is left for the body", MemoryRetryAfter};
+  if (!Self.reserveBody(Length))
     return 1;
-  }
   Self.Body.append(At, Length);
   return 0;
 }
@@ -354,6 +378,8 @@
          !this->Implementation->MessageComplete;
 }
 
+void RequestParser::discard() { this->Implementation->reset(HTTP_REQUEST); }
+
 HttpRequest RequestParser::take() {
   Collector &Self = *this->Implementation;
   HttpRequest Result;
@@ -361,7 +387,7 @@
   Result.Target = std::move(Self.RequestTarget);
   Result.Fields = std::move(Self.Fields);
   Result.Body = std::move(Self.Body);
-  Result.BodyShare = std::move(Self.BodyShare);
+  Result.Share = std::move(Self.Share);
   Result.KeepAlive = Self.KeepAlive;
   Self.reset(HTTP_REQUEST);
   return Result;
@@ -420,7 +446,7 @@
   Result.Status = Self.Parser.status_code;
   Result.Fields = std::move(Self.Fields);
   Result.Body = std::move(Self.Body);
-  Result.BodyShare = std::move(Self.BodyShare);
+  Result.Share = std::move(Self.Share);
   Result.KeepAlive = Self.KeepAlive;
   return Result;
 }
--- a/balsamyard/src/Connection/HttpParser.h
+++ b/balsamyard/src/Connection/HttpParser.h
@@ -64,6 +64,9 @@
   /// "100 Continue" before it sends the body. True at most once per message.
   bool takeExpectContinue();
 
+  /// \brief Drops what was read of a request that is rejected.
+  void discard();
+
   /// \returns the request after HttpComplete, and starts the next one.
   HttpRequest take();
 
--- a/balsamyard/src/Connection/ServerConnection.cpp
+++ b/balsamyard/src/Connection/ServerConnection.cpp
@@ -190,6 +190,8 @@
                                              : "request-malformed",
            {{"status", std::int64_t(Fault.Status)},
             {"detail", std::string(Fault.Reason)}});
+  this->Parser.discard();
+  std::string().swap(this->Unparsed);
   this->CurrentState = State::Handling;
   this->answer(plainAnswer(Fault.Status, Fault.Reason, false, Fault.RetryAfter),
                false);
--- a/balsamyard/src/Connection/TargetProtocol.cpp
+++ b/balsamyard/src/Connection/TargetProtocol.cpp
@@ -273,7 +273,7 @@
                        !sameHeaderName(Field.Name, "content-length"))
                      appendField(Head, Field.Name, Field.Value);
                  AppendBody(std::move(Response.Body));
-                 Result.Share = std::move(Response.BodyShare);
+                 Result.Share = std::move(Response.Share);
                },
                [&](const NotExecutedAnswer &Refused) {
                  Head = plainAnswer(503, Refused.Reason, KeepAlive,
--- a/balsamyard/src/Core/Http.h
+++ b/balsamyard/src/Core/Http.h
@@ -41,6 +41,7 @@
   auto begin() const { return this->List.begin(); }
   auto end() const { return this->List.end(); }
   bool empty() const { return this->List.empty(); }
+  std::size_t size() const { return this->List.size(); }
   HttpField &last() { return this->List.back(); }
 
 private:
@@ -53,7 +54,7 @@
   std::string Target;
   HttpFields Fields;
   std::string Body;
-  Ref<MessageShare> BodyShare; ///< Of a large body.
+  Ref<MessageShare> Share; ///< Of a large message.
   bool KeepAlive = true;
 };
 
@@ -62,7 +63,7 @@
   int Status = 0;
   HttpFields Fields;
   std::string Body;
-  Ref<MessageShare> BodyShare; ///< Of a large body.
+  Ref<MessageShare> Share; ///< Of a large message.
   bool KeepAlive = true;
 };
 
