Connections: limit pipelined bytes

Callers saw: memory of the process grows with what a caller sends ahead. Cause: up to 64 KiB of further requests were buffered on each connection, uncounted; and that was no limit: each request that was begun read 4 KiB more whatever was buffered, so a caller that sends faster than it is answered grew the buffer without end (blocks above 64 KiB held 26 MB on 217 connections).

Now reading pauses while 4 KiB are buffered, also when a request begins.

--- a/balsamyard/src/Connection/ServerConnection.cpp
+++ b/balsamyard/src/Connection/ServerConnection.cpp
@@ -68,8 +68,10 @@
     this->parse();
     return;
   }
-  // The next request stays buffered; reading on only serves to detect that the
-  // peer disconnects.
+  this->readOn();
+}
+
+void ServerConnection::readOn() {
   if (this->Unparsed.size() < MaxPipelined)
     this->read();
 }
@@ -98,8 +100,7 @@
   this->noteActivity();
   HttpRequest Request = this->Parser.take();
   this->PeerKeepsOpen = Request.KeepAlive;
-  // Keeps reading to detect that the peer disconnects.
-  this->read();
+  this->readOn();
   const Ref<ServerConnection> Self(this);
   this->Hooks.OnRequest(*this, std::move(Request));
 }
--- a/balsamyard/src/Connection/ServerConnection.h
+++ b/balsamyard/src/Connection/ServerConnection.h
@@ -51,9 +51,9 @@
   /// with unread bytes would reset it, and the peer could lose the answer.
   static constexpr Duration LingerTime = std::chrono::seconds(1);
 
-  /// Maximum bytes of pipelined requests that are buffered while one is
-  /// handled.
-  static constexpr std::size_t MaxPipelined = 64UL * 1024;
+  /// Reading pauses while as many bytes of pipelined requests are buffered and
+  /// one is handled. They are not counted, so they are few.
+  static constexpr std::size_t MaxPipelined = 4UL * 1024;
 
   /// \p Hooks outlives the connection. The connection is in \p Table until it
   /// closes.
@@ -116,6 +116,10 @@
   enum class State { Reading, Handling, Writing, Lingering, Closed };
 
   void read();
+
+  /// \brief Reads while a request is handled, to detect that the peer
+  /// disconnects. What it sends stays buffered as the next request.
+  void readOn();
   void onRead(const std::string_view Bytes);
   void onReadEnd();
   void parse();
