Node: give the memory of large messages back to the system

What a crowd left behind stayed in the process: the allocator raises its threshold for mapped blocks with each large block that is freed, and keeps the next ones in the heap. A fixed threshold of 128 KiB maps them.

--- a/apps/balsamyard-node/main.cpp
+++ b/apps/balsamyard-node/main.cpp
@@ -6,6 +6,7 @@
 #include <cstdlib>
 #include <cxxopts.hpp>
 #include <iostream>
+#include <malloc.h>
 
 using namespace balsamyard;
 
@@ -16,6 +17,10 @@
 constexpr int ExitSettings = 78;
 constexpr int ExitFailure = 70;
 
+/// Larger allocations are messages of callers or targets, or the whole
+/// configuration.
+constexpr int LargeAllocationBytes = 128 * 1024;
+
 int serve(const std::string &Path, std::uint16_t MetricsPort, bool CheckOnly) {
   const auto Read = [Path, MetricsPort] {
     Expected<NodeSettings> Result = platform::readSettings(Path);
@@ -50,6 +55,10 @@
 } // namespace
 
 int main(int Count, char **Arguments) {
+  // A fixed threshold: large messages are mapped and go back to the system when
+  // they end. By default it grows with the messages, and what is left of them
+  // stays in the heap.
+  ::mallopt(M_MMAP_THRESHOLD, LargeAllocationBytes);
   // Report writes to closed connections as errors instead of raising SIGPIPE.
   std::signal(SIGPIPE, SIG_IGN);
   cxxopts::Options Options("balsamyard-node",
