Connections: a caller that pauses its reading is not a lost one

Callers saw: a long answer is cut off when its caller stops reading for some seconds. Cause: the kernel ended the connection after 2.5 s (TCP_USER_TIMEOUT), which is meant for lost peers but also counts a closed window. Now it is the idle timeout of callers, as for a stalled answer. Lost callers without unacknowledged bytes are found by keep-alive probes as before. After the linger time the short timeout is set, so that the kernel does not hold the rest of an answer for long.

Evidence: a caller that pauses for 5 s within an answer of 6 MiB got no whole answer before and gets it now (crowd tests, "a single caller goes to the limits").

--- a/balsamyard/src/Connection/HttpLink.cpp
+++ b/balsamyard/src/Connection/HttpLink.cpp
@@ -18,7 +18,7 @@
 
 } // namespace
 
-void tuneSocket(asio::ip::tcp::socket &Socket) {
+void tuneSocket(asio::ip::tcp::socket &Socket, Duration UserTimeout) {
   using std::chrono::duration_cast;
   const int Handle = Socket.native_handle();
   setOption(Handle, IPPROTO_TCP, TCP_NODELAY, 1);
@@ -29,9 +29,8 @@
   setOption(Handle, IPPROTO_TCP, TCP_KEEPINTVL, 1);
   setOption(Handle, IPPROTO_TCP, TCP_KEEPCNT, HttpLink::KeepAliveProbes);
   setOption(Handle, IPPROTO_TCP, TCP_USER_TIMEOUT,
-            static_cast<int>(duration_cast<std::chrono::milliseconds>(
-                                 HttpLink::AcknowledgeTimeout)
-                                 .count()));
+            static_cast<int>(
+                duration_cast<std::chrono::milliseconds>(UserTimeout).count()));
 }
 
 HttpLink::HttpLink(asio::io_context &Context, const HttpLimits &Limits)
--- a/balsamyard/src/Connection/HttpLink.h
+++ b/balsamyard/src/Connection/HttpLink.h
@@ -92,6 +92,9 @@
 };
 
 /// \brief Disables Nagle's algorithm and bounds the time to detect a lost peer.
-void tuneSocket(asio::ip::tcp::socket &Socket);
+/// The kernel ends the connection when the peer has not acknowledged or taken
+/// anything for \p UserTimeout.
+void tuneSocket(asio::ip::tcp::socket &Socket,
+                Duration UserTimeout = HttpLink::AcknowledgeTimeout);
 
 } // namespace balsamyard
--- a/balsamyard/src/Connection/ServerConnection.cpp
+++ b/balsamyard/src/Connection/ServerConnection.cpp
@@ -33,8 +33,10 @@
 }
 
 void ServerConnection::start() {
-  tuneSocket(this->Socket);
   this->Limits = this->Hooks.Limits();
+  // A peer that pauses its reading closes its window, for which the kernel ends
+  // the connection as for one that is lost.
+  tuneSocket(this->Socket, this->Limits.IdleTimeout);
   this->Parser.limit(this->Limits.Message);
   this->armTimer(this->Limits.IdleTimeout);
   this->read();
@@ -209,6 +211,9 @@
 
 void ServerConnection::onTimer() {
   if (this->CurrentState == State::Lingering) {
+    // The kernel goes on to send what the peer has not taken yet, but not for
+    // long if it takes nothing.
+    tuneSocket(this->Socket);
     this->close();
     return;
   }
