Peers: limit the connections to the port for other nodes

Clients that open connections there and send nothing took all descriptors, and no caller was accepted. Now the port has an eighth of the descriptors and of the memory; a new connection replaces the oldest one that has not brought a complete request, as other nodes do at once.

Not covered: clients that speak the protocol and send streams of up to 1 MiB each.

--- a/balsamyard/src/Connection/PeerServer.cpp
+++ b/balsamyard/src/Connection/PeerServer.cpp
@@ -36,6 +36,12 @@
   std::function<void()> OnCancel; ///< Accessed only on the strand.
 };
 
+/// Whether a connection has brought a complete request, as those of other nodes
+/// do at once.
+struct ConnectionUse : RefCounted<ConnectionUse> {
+  std::atomic<bool> HasRequest{false};
+};
+
 /// Collects the one message of a request.
 struct RequestState : RefCounted<RequestState> {
   std::optional<std::string> Message;
@@ -96,20 +102,22 @@
 bool PeerStream::cancelled() const { return this->Shared->Inner->Cancelled; }
 
 struct PeerServer::Impl {
-  Impl(std::size_t Threads, Handler OnRequest)
+  Impl(std::size_t Threads, Handler OnRequest, std::size_t MaxConnections)
       : Io(makeRef<IoThreads>(Threads)), AcceptStrand(this->Io->makeStrand()),
         Acceptor(this->AcceptStrand), AcceptTimer(this->AcceptStrand),
-        OnRequest(std::move(OnRequest)) {}
+        OnRequest(std::move(OnRequest)), MaxConnections(MaxConnections) {}
 
   struct Entry {
     Ref<Http2Session> Session;
     Strand SessionStrand;
+    Ref<ConnectionUse> Use;
+    std::uint64_t Number = 0; ///< In the order of their acceptance.
   };
 
   void accept();
+  bool makeRoom();
   void serve(asio::ip::tcp::socket Socket, const Strand &SessionStrand);
-  void open(Http2Session *Session, const Strand &SessionStrand,
-            Http2Stream &Stream);
+  void open(const Entry &Connection, Http2Stream &Stream);
   std::vector<Entry> sessions();
 
   Ref<IoThreads> Io;
@@ -117,9 +125,11 @@
   asio::ip::tcp::acceptor Acceptor;
   asio::steady_timer AcceptTimer;
   Handler OnRequest;
+  const std::size_t MaxConnections;
   Endpoint Local;
   std::mutex Mutex; ///< Guards the members below; not taken by requests.
   std::map<Http2Session *, Entry> Sessions;
+  std::uint64_t Accepted = 0;
   bool Stopping = false;
 };
 
@@ -144,14 +154,32 @@
       });
 }
 
+bool PeerServer::Impl::makeRoom() {
+  if (this->Sessions.size() < this->MaxConnections)
+    return true;
+  auto Oldest = this->Sessions.end();
+  for (auto Each = this->Sessions.begin(); Each != this->Sessions.end(); ++Each)
+    if (!Each->second.Use->HasRequest &&
+        (Oldest == this->Sessions.end() ||
+         Each->second.Number < Oldest->second.Number))
+      Oldest = Each;
+  if (Oldest == this->Sessions.end())
+    return false;
+  asio::post(Oldest->second.SessionStrand,
+             [Session = Oldest->second.Session] { Session->close(); });
+  this->Sessions.erase(Oldest);
+  return true;
+}
+
 void PeerServer::Impl::serve(asio::ip::tcp::socket Socket,
                              const Strand &SessionStrand) {
   Http2Session::Handlers Events;
   // The session calls its handlers only while it lives, and it leaves the map
   // before it ends.
   auto Self = std::make_shared<Http2Session *>(nullptr);
-  Events.OnOpen = [this, Self, SessionStrand](Http2Stream &Stream) {
-    this->open(*Self, SessionStrand, Stream);
+  const auto Use = makeRef<ConnectionUse>();
+  Events.OnOpen = [this, Self, SessionStrand, Use](Http2Stream &Stream) {
+    this->open({Ref<Http2Session>(*Self), SessionStrand, Use}, Stream);
   };
   Events.OnClosed = [this, Self] {
     std::lock_guard<std::mutex> Lock(this->Mutex);
@@ -162,9 +190,10 @@
   *Self = Session.get();
   {
     std::lock_guard<std::mutex> Lock(this->Mutex);
-    if (this->Stopping)
+    if (this->Stopping || !this->makeRoom())
       return;
-    this->Sessions.emplace(Session.get(), Entry{Session, SessionStrand});
+    this->Sessions.emplace(
+        Session.get(), Entry{Session, SessionStrand, Use, this->Accepted++});
   }
   asio::post(SessionStrand, [Session, Drain = !this->Acceptor.is_open()] {
     Session->start();
@@ -174,11 +203,10 @@
   });
 }
 
-void PeerServer::Impl::open(Http2Session *Session, const Strand &SessionStrand,
-                            Http2Stream &Stream) {
+void PeerServer::Impl::open(const Entry &Connection, Http2Stream &Stream) {
   auto Request = makeRef<RequestState>();
-  auto Inner = makeRef<StreamState>(Ref<Http2Session>(Session),
-                                    Ref<Http2Stream>(&Stream), SessionStrand);
+  auto Inner = makeRef<StreamState>(
+      Connection.Session, Ref<Http2Stream>(&Stream), Connection.SessionStrand);
   Stream.Handlers.OnMessage = [Inner, Request](std::string Message) {
     if (!Request->Message) {
       Request->Message = std::move(Message);
@@ -186,11 +214,12 @@
     }
     Inner->Session->reset(*Inner->Stream, NGHTTP2_PROTOCOL_ERROR);
   };
-  Stream.Handlers.OnRequestEnd = [this, Inner, Request] {
+  Stream.Handlers.OnRequestEnd = [this, Inner, Request, Use = Connection.Use] {
     if (!Request->Message) {
       Inner->Session->reset(*Inner->Stream, NGHTTP2_PROTOCOL_ERROR);
       return;
     }
+    Use->HasRequest = true;
     this->OnRequest(
         Inner->Stream->Path, std::move(*Request->Message),
         makeRef<PeerStream>(makeRef<PeerStream::State>(this->Io, Inner)));
@@ -218,13 +247,15 @@
     : Implementation(std::move(Implementation)) {}
 
 Expected<std::unique_ptr<PeerServer>>
-PeerServer::listen(const Endpoint &At, std::size_t Threads, Handler OnRequest) {
+PeerServer::listen(const Endpoint &At, std::size_t Threads, Handler OnRequest,
+                   std::size_t MaxConnections) {
   asio::error_code Fault;
   asio::ip::address Address = asio::ip::make_address(At.Address, Fault);
   if (Fault)
     return fail(Code::PeerUnreachable,
                 "cannot listen on " + toText(At) + ": " + Fault.message());
-  auto Server = std::make_unique<Impl>(Threads, std::move(OnRequest));
+  auto Server =
+      std::make_unique<Impl>(Threads, std::move(OnRequest), MaxConnections);
   asio::ip::tcp::endpoint Local(Address, At.Port);
   asio::ip::tcp::acceptor &Acceptor = Server->Acceptor;
   Acceptor.open(Local.protocol(), Fault);
--- a/balsamyard/src/Connection/PeerServer.h
+++ b/balsamyard/src/Connection/PeerServer.h
@@ -48,9 +48,15 @@
   using Handler = std::function<void(std::string Path, std::string Message,
                                      Ref<PeerStream> Stream)>;
 
+  static constexpr std::size_t DefaultMaxConnections = 4096;
+
   /// \brief Listens on \p At; port 0 lets the kernel choose.
+  ///
+  /// With \p MaxConnections open, a new one replaces the oldest that has not
+  /// brought any request, or is closed if all have.
   static Expected<std::unique_ptr<PeerServer>>
-  listen(const Endpoint &At, std::size_t Threads, Handler OnRequest);
+  listen(const Endpoint &At, std::size_t Threads, Handler OnRequest,
+         std::size_t MaxConnections = DefaultMaxConnections);
 
   ~PeerServer();
 
--- a/balsamyard/src/Process/FeedRelay.cpp
+++ b/balsamyard/src/Process/FeedRelay.cpp
@@ -21,7 +21,8 @@
     : Context(Context), Objects(Objects), Events(std::move(Events)),
       Timer(Context) {}
 
-Expected<void> FeedRelay::listen(const Endpoint &At) {
+Expected<void> FeedRelay::listen(const Endpoint &At,
+                                 std::size_t MaxConnections) {
   constexpr std::size_t Threads = 1;
   auto Listening = PeerServer::listen(
       At, Threads,
@@ -32,7 +33,8 @@
                     Message = std::move(Message), Stream = std::move(Stream)] {
                      this->accept(RequestPath, Message, Stream);
                    });
-      });
+      },
+      MaxConnections);
   if (!Listening)
     return tl::unexpected(Listening.error());
   this->Server = std::move(*Listening);
--- a/balsamyard/src/Process/FeedRelay.h
+++ b/balsamyard/src/Process/FeedRelay.h
@@ -41,7 +41,9 @@
             Handlers Events);
 
   /// \brief Accepts followers at \p At.
-  Expected<void> listen(const Endpoint &At);
+  Expected<void>
+  listen(const Endpoint &At,
+         std::size_t MaxConnections = PeerServer::DefaultMaxConnections);
 
   /// \returns the address with the port that was chosen; listen() must have
   /// succeeded.
--- a/balsamyard/src/Process/FleetAgent.cpp
+++ b/balsamyard/src/Process/FleetAgent.cpp
@@ -1,6 +1,7 @@
 #include "balsamyard/src/Process/FleetAgent.h"
 
 #include "balsamyard/src/Core/Log.h"
+#include "balsamyard/src/Process/ResourceLimits.h"
 
 #include <algorithm>
 #include <array>
@@ -105,7 +106,8 @@
   this->handle(PeersListed{std::move(Nodes)});
   if (!this->Source.isReader() || this->Relay.isListening())
     return;
-  const Expected<void> Listening = this->Relay.listen(this->Settings.Peers);
+  const Expected<void> Listening = this->Relay.listen(
+      this->Settings.Peers, divideResources(this->Settings).PeerConnections);
   if (!Listening)
     logEvent(LogLevel::Error, "feed-relay-not-listening",
              {{"code", Listening.error().Value},
--- a/balsamyard/src/Process/ResourceLimits.cpp
+++ b/balsamyard/src/Process/ResourceLimits.cpp
@@ -14,6 +14,11 @@
                                      Settings.MemoryBytes / 2 /
                                          ResourceLimits::ConnectionBytes),
                ResourceLimits::MinConnections);
+  Result.PeerConnections =
+      std::max(std::min<std::size_t>(Settings.Descriptors / 8,
+                                     Settings.MemoryBytes / 8 /
+                                         ResourceLimits::PeerConnectionBytes),
+               ResourceLimits::MinConnections);
   Result.RequestBytes = Settings.MemoryBytes / 8;
   Result.AnswerBytes = Settings.MemoryBytes / 4;
   return Result;
--- a/balsamyard/src/Process/ResourceLimits.h
+++ b/balsamyard/src/Process/ResourceLimits.h
@@ -15,12 +15,17 @@
   /// (64 KiB, as it takes whole segments) and nobody has read (64 KiB).
   static constexpr std::size_t ConnectionBytes = 144UL * 1024;
 
+  /// Memory that one connection of another node takes: a read buffer and its
+  /// state.
+  static constexpr std::size_t PeerConnectionBytes = 64UL * 1024;
+
   /// A process that may hold fewer connections serves nobody well.
   static constexpr std::size_t MinConnections = 16;
 
-  std::size_t Connections = 0;  ///< Of callers.
-  std::size_t RequestBytes = 0; ///< Counted parts of requests.
-  std::size_t AnswerBytes = 0;  ///< Answers that are read, held and sent.
+  std::size_t Connections = 0;     ///< Of callers.
+  std::size_t PeerConnections = 0; ///< Of other nodes to this one.
+  std::size_t RequestBytes = 0;    ///< Counted parts of requests.
+  std::size_t AnswerBytes = 0;     ///< Answers that are read, held and sent.
 };
 
 /// \returns the shares of what the platform grants a node.
