--- a/balsamyard/src/Process/Node.cpp
+++ b/balsamyard/src/Process/Node.cpp
@@ -32,8 +32,18 @@
   return Result;
 }
 
+/// \returns the limits of pages, whose requests are short and have no body.
+ServerLimits pageLimits(CallerMemory &Memory) {
+  constexpr std::size_t HeaderBytes = 8UL * 1024;
+  constexpr std::size_t BodyBytes = 1024;
+  ServerLimits Result;
+  Result.Message = {HeaderBytes, BodyBytes, &Memory.Requests};
+  return Result;
+}
+
 /// \returns hooks for a page whose requests are answered synchronously.
 ServerHooks immediateHooks(
+    CallerMemory &Memory,
     std::function<void(ServerConnection &, const HttpRequest &)> Answer) {
   return {[Answer = std::move(Answer)](ServerConnection &Peer,
                                        const HttpRequest &Request) {
@@ -42,7 +52,7 @@
           [](ServerConnection &) {
             // Nothing to cancel: requests are answered synchronously.
           },
-          [] { return ServerLimits{}; }};
+          [&Memory] { return pageLimits(Memory); }};
 }
 
 /// \returns the modification time in nanoseconds since the epoch, or 0 if the
@@ -168,18 +178,21 @@
             }),
       Readiness(this->Control,
                 immediateHooks(
+                    this->Memory,
                     [this](ServerConnection &Peer, const HttpRequest &Request) {
                       this->onReadinessRequest(Peer, Request);
                     }),
                 MaxPageConnections),
       MetricsPage(
           this->Control,
-          immediateHooks([this](ServerConnection &Peer, const HttpRequest &) {
-            const bool KeepOpen = Peer.mayKeepOpen();
-            Peer.answer(plainAnswer(200, this->metricsText(), KeepOpen, {},
-                                    "text/plain; version=0.0.4"),
-                        KeepOpen);
-          }),
+          immediateHooks(this->Memory,
+                         [this](ServerConnection &Peer, const HttpRequest &) {
+                           const bool KeepOpen = Peer.mayKeepOpen();
+                           Peer.answer(plainAnswer(200, this->metricsText(),
+                                                   KeepOpen, {},
+                                                   "text/plain; version=0.0.4"),
+                                       KeepOpen);
+                         }),
           MaxPageConnections),
       Signals(this->Control, SIGTERM, SIGINT, SIGHUP), StopTimer(this->Control),
       SettingsTimer(this->Control),
