Targets: no memory for an answer is no failure of its target

Callers saw: while others read long answers slowly, targets were taken for broken. Cause: an answer for which no memory was left ended like a malformed one: its target counted as failing and as suspect, which refuses requests until it is checked again, and another target got the request, whose answer did not fit either.

Now it is an outcome of its own: the target keeps its state, no other target is asked, and the caller gets 502 at once, as the request has run.

--- a/balsamyard/src/Connection/HttpLink.cpp
+++ b/balsamyard/src/Connection/HttpLink.cpp
@@ -120,7 +120,9 @@
     return;
   }
   if (const auto *Fault = std::get_if<HttpMalformed>(&Step.Progress)) {
-    this->finish(fail(Code::TargetMalformed, std::string(Fault->Reason)),
+    this->finish(fail(Fault->Status == NoMemoryStatus ? Code::Overloaded
+                                                      : Code::TargetMalformed,
+                      std::string(Fault->Reason)),
                  false);
     return;
   }
--- a/balsamyard/src/Connection/HttpParser.cpp
+++ b/balsamyard/src/Connection/HttpParser.cpp
@@ -90,7 +90,7 @@
     const std::size_t Wanted =
         Length ? Bytes : std::max(Bytes, 2 * this->CountedBytes);
     if (!this->Share->grow(Wanted, Length)) {
-      this->Fault = {503, "no memory is left for the message",
+      this->Fault = {NoMemoryStatus, "no memory is left for the message",
                      MemoryRetryAfter};
       return false;
     }
--- a/balsamyard/src/Connection/HttpParser.h
+++ b/balsamyard/src/Connection/HttpParser.h
@@ -26,6 +26,10 @@
 /// \brief The message is complete; bytes after it were not consumed.
 struct HttpComplete {};
 
+/// \brief Status of HttpMalformed if this process has no memory left for the
+/// message, whatever its bytes are.
+inline constexpr int NoMemoryStatus = 503;
+
 /// \brief The message is malformed or exceeds a limit. Status and RetryAfter
 /// are those of the response of a server.
 struct HttpMalformed {
--- a/balsamyard/src/Connection/TargetChannel.cpp
+++ b/balsamyard/src/Connection/TargetChannel.cpp
@@ -15,6 +15,12 @@
   return !Result && Result.error().Value == Code::TargetMalformed;
 }
 
+/// \returns whether this process had no memory for the answer, which says
+/// nothing about the target.
+bool isDiscarded(const Expected<HttpResponse> &Result) {
+  return !Result && Result.error().Value == Code::Overloaded;
+}
+
 } // namespace
 
 TargetChannel::TargetChannel(asio::io_context &Context, Ref<KnownTarget> Target,
@@ -172,6 +178,8 @@
              {{"target", this->Target->Info.Id.Text},
               {"service", this->Target->Info.Service.Text},
               {"detail", Result.error().Detail}});
+  if (isDiscarded(Result))
+    return;
   if (!Result) {
     this->Target->observeFailure(Now);
     return;
@@ -251,7 +259,7 @@
   const bool Alive = Entry->Link->isOpen();
   // A malformed answer ends the connection from this side: its target lives.
   const bool Malformed = isMalformed(Result);
-  const bool Broken = !Result && !Malformed;
+  const bool Broken = !Result && !Malformed && !isDiscarded(Result);
   if (!Alive) {
     this->remove(*Entry);
     if (Broken)
--- a/balsamyard/src/Request/RequestRun.cpp
+++ b/balsamyard/src/Request/RequestRun.cpp
@@ -235,8 +235,10 @@
     this->Context.Counters.add("target_answers_unusable_total",
                                this->Context.ThreadLabel);
   }
-  this->handle(AttemptLost{Attempt, Sent ? AttemptFailure::Broken
-                                         : AttemptFailure::NotSent});
+  const bool Discarded = !Result && Result.error().Value == Code::Overloaded;
+  this->handle(AttemptLost{Attempt, Discarded ? AttemptFailure::Discarded
+                                    : Sent    ? AttemptFailure::Broken
+                                              : AttemptFailure::NotSent});
 }
 
 void RequestRun::on(const WithdrawAttempt &Effect) {
--- a/balsamyard/src/Request/Scatter.cpp
+++ b/balsamyard/src/Request/Scatter.cpp
@@ -237,9 +237,9 @@
 }
 
 std::string Scatter::describe(TimePoint Now) const {
-  constexpr std::array<std::string_view, 7> ResultNames = {
-      "open",   "answered", "not-executed", "failed",
-      "broken", "not-sent", "withdrawn"};
+  constexpr std::array<std::string_view, 8> ResultNames = {
+      "open",   "answered",  "not-executed", "failed",
+      "broken", "discarded", "not-sent",     "withdrawn"};
   constexpr std::array<std::string_view, 3> Places = {"domain", "region",
                                                       "far"};
   std::string Result;
@@ -315,6 +315,7 @@
       return;
     break;
   case AttemptResult::NotExecuted:
+  case AttemptResult::Discarded:
   case AttemptResult::NotSent:
   case AttemptResult::Withdrawn:
     return;
@@ -379,21 +380,30 @@
       Open.Target->noteSlow(Now);
 }
 
+Scatter::AttemptResult Scatter::resultOf(AttemptFailure Failure) {
+  switch (Failure) {
+  case AttemptFailure::NotSent:
+    return AttemptResult::NotSent;
+  case AttemptFailure::Broken:
+    return AttemptResult::Broken;
+  case AttemptFailure::Discarded:
+    return AttemptResult::Discarded;
+  }
+  return AttemptResult::Broken;
+}
+
 void Scatter::on(const AttemptLost &Event, TimePoint Now,
                  ScatterEffects &Effects) {
   Attempt &Ended = this->Attempts[Event.Attempt];
   if (Ended.State == AttemptState::Ended)
     return;
-  this->closeAttempt(Ended,
-                     Event.Failure == AttemptFailure::NotSent
-                         ? AttemptResult::NotSent
-                         : AttemptResult::Broken,
-                     Now);
+  this->closeAttempt(Ended, resultOf(Event.Failure), Now);
   ShardProgress &Progress = this->Shards[Ended.Shard];
   if (Progress.Answered || Progress.Abandoned)
     return;
   const bool Retryable = Event.Failure == AttemptFailure::NotSent ||
-                         this->mayRetry(Progress, AnswerKind::Failed);
+                         (Event.Failure == AttemptFailure::Broken &&
+                          this->mayRetry(Progress, AnswerKind::Failed));
   this->retryOrAbandon(Ended.Shard, Retryable, Now, Effects);
 }
 
--- a/balsamyard/src/Request/Scatter.h
+++ b/balsamyard/src/Request/Scatter.h
@@ -27,6 +27,10 @@
 enum class AttemptFailure : std::uint8_t {
   NotSent, ///< No byte reached a connection.
   Broken,  ///< The request was sent, so it may have run.
+
+  /// This process had no memory for the answer. Those of other targets would
+  /// not find any either.
+  Discarded,
 };
 
 /// \brief The request starts.
@@ -168,6 +172,7 @@
     NotExecuted,
     Failed,
     Broken,
+    Discarded,
     NotSent,
     Withdrawn
   };
@@ -195,6 +200,8 @@
     PartAnswer Answer;
   };
 
+  static AttemptResult resultOf(AttemptFailure Failure);
+
   void on(const ScatterStarted &Event, TimePoint Now, ScatterEffects &Effects);
   void on(const AttemptSent &Event, TimePoint Now, ScatterEffects &Effects);
   void on(AttemptAnswered &Event, TimePoint Now, ScatterEffects &Effects);
