Bodies: count small ones, and expect a least pace

Bodies below 16 KiB were counted nowhere, on any number of connections, and the timeout of a body began again with each byte, so that one byte a timeout kept a connection and its memory for ever. Now 4 KiB of a message are free, and 4 KiB of a body have to arrive in each idle timeout.

--- a/balsamyard/src/Connection/HttpParser.cpp
+++ b/balsamyard/src/Connection/HttpParser.cpp
@@ -373,6 +373,10 @@
   return this->Implementation->HeadersComplete;
 }
 
+std::size_t RequestParser::bodyBytes() const {
+  return this->Implementation->Body.size();
+}
+
 bool RequestParser::takeExpectContinue() {
   return std::exchange(this->Implementation->ExpectContinue, false) &&
          !this->Implementation->MessageComplete;
--- a/balsamyard/src/Connection/HttpParser.h
+++ b/balsamyard/src/Connection/HttpParser.h
@@ -64,6 +64,9 @@
   /// \returns whether the header section of the current message is complete.
   bool headersComplete() const;
 
+  /// \returns the bytes of the body that were read.
+  std::size_t bodyBytes() const;
+
   /// \returns whether the header section is complete and the caller waits for
   /// "100 Continue" before it sends the body. True at most once per message.
   bool takeExpectContinue();
--- a/balsamyard/src/Connection/ServerConnection.cpp
+++ b/balsamyard/src/Connection/ServerConnection.cpp
@@ -97,6 +97,7 @@
     return;
   }
   this->HeaderTimerArmed = false;
+  this->BodyTimerArmed = false;
   this->Timer.cancel();
   this->CurrentState = State::Handling;
   this->noteActivity();
@@ -108,10 +109,10 @@
 }
 
 void ServerConnection::onIncomplete() {
-  // The header section has one time limit in total; the limit of a body
-  // restarts with each read.
+  // The header section has one time limit in total; that of a body restarts
+  // with each part of it.
   if (this->Parser.headersComplete())
-    this->armTimer(this->Limits.IdleTimeout);
+    this->armBodyTimer();
   else if (this->Parser.started() && !this->HeaderTimerArmed) {
     this->HeaderTimerArmed = true;
     this->armTimer(this->Limits.HeaderTimeout);
@@ -128,6 +129,15 @@
   this->read();
 }
 
+void ServerConnection::armBodyTimer() {
+  const std::size_t Received = this->Parser.bodyBytes();
+  if (this->BodyTimerArmed && Received < this->TimedBodyBytes + MinBodyPart)
+    return;
+  this->BodyTimerArmed = true;
+  this->TimedBodyBytes = Received;
+  this->armTimer(this->Limits.IdleTimeout);
+}
+
 void ServerConnection::answer(EncodedMessage Message, bool KeepOpen) {
   if (this->CurrentState != State::Handling)
     return;
--- a/balsamyard/src/Connection/ServerConnection.h
+++ b/balsamyard/src/Connection/ServerConnection.h
@@ -51,6 +51,10 @@
   /// with unread bytes would reset it, and the peer could lose the answer.
   static constexpr Duration LingerTime = std::chrono::seconds(1);
 
+  /// Least part of a body that has to arrive in each idle timeout. With single
+  /// bytes, a peer could keep its memory for ever.
+  static constexpr std::size_t MinBodyPart = 4UL * 1024;
+
   /// Reading pauses while as many bytes of pipelined requests are buffered and
   /// one is handled. They are not counted, so they are few.
   static constexpr std::size_t MaxPipelined = 4UL * 1024;
@@ -126,6 +130,7 @@
   void reject(const HttpMalformed &Fault);
   void armTimer(Duration After);
   void onIncomplete();
+  void armBodyTimer();
   void onTimer();
   void linger();
   void noteActivity();
@@ -149,6 +154,8 @@
   bool Reading = false;
   bool KeepAfterWrite = false;
   bool HeaderTimerArmed = false;
+  bool BodyTimerArmed = false;
+  std::size_t TimedBodyBytes = 0; ///< When the timer of the body was armed.
 };
 
 } // namespace balsamyard
--- a/balsamyard/src/Core/MessageMemory.h
+++ b/balsamyard/src/Core/MessageMemory.h
@@ -21,7 +21,7 @@
 public:
   /// Smaller messages are not counted. They need about as much as the buffers
   /// of their connections.
-  static constexpr std::size_t UncountedBytes = 16UL * 1024;
+  static constexpr std::size_t UncountedBytes = 4UL * 1024;
 
   explicit MessageMemory(std::size_t Capacity) : Capacity(Capacity) {}
 
--- a/balsamyard/src/Process/Node.cpp
+++ b/balsamyard/src/Process/Node.cpp
@@ -235,6 +235,13 @@
 
 bool Node::isReady() const { return !this->Stopping && this->Agent.isReady(); }
 
+std::size_t Node::callerConnections() const {
+  std::size_t Result = 0;
+  for (const auto &Worker : this->Workers)
+    Result += Worker->connections();
+  return Result;
+}
+
 std::string Node::metricsText() const {
   const Ref<const FleetView> Current = this->View.read();
   Metrics ProcessMetrics;
@@ -262,13 +269,10 @@
                        static_cast<double>(static_cast<std::uint64_t>(
                            Current->Config->Version)));
   std::uint64_t Evictions = 0;
-  std::size_t Connections = 0;
-  for (const auto &Worker : this->Workers) {
+  for (const auto &Worker : this->Workers)
     Evictions += Worker->evictions();
-    Connections += Worker->connections();
-  }
   ProcessMetrics.set("caller_connections", "",
-                     static_cast<double>(Connections));
+                     static_cast<double>(this->callerConnections()));
   ProcessMetrics.set("callers_evicted_total", "",
                      static_cast<double>(Evictions));
   std::string Text = ProcessMetrics.toText();
@@ -355,9 +359,7 @@
     for (const auto &Worker : this->Workers)
       Worker->closeIdle();
   }
-  std::size_t Open = 0;
-  for (const auto &Worker : this->Workers)
-    Open += Worker->connections();
+  const std::size_t Open = this->callerConnections();
   const TimePoint Now = steadyNow();
   if (Age >= this->Settings.Bounds.StopTime - this->Stops.ExitMargin &&
       !this->RequestsEndedAt) {
--- a/balsamyard/src/Process/Node.h
+++ b/balsamyard/src/Process/Node.h
@@ -130,6 +130,9 @@
   std::uint16_t callerPort() const { return this->Workers.front()->port(); }
   std::uint16_t readinessPort() const { return this->Readiness.port(); }
 
+  /// \returns the number of open caller connections.
+  std::size_t callerConnections() const;
+
 private:
   /// Connections to the readiness page and to the metrics page, each. The load
   /// balancer and a collector of metrics need a few.
--- a/tests/path/FakeFleet.h
+++ b/tests/path/FakeFleet.h
@@ -554,6 +554,9 @@
 
   void close() { this->Socket.close(); }
 
+  /// \returns the bytes that have arrived and were not received yet.
+  std::size_t unread() const { return this->Socket.available(); }
+
 private:
   asio::io_context Io;
   asio::ip::tcp::socket Socket;
