Http: look hop-by-hop fields up once

For each forwarded field, all fields were searched for Connection and its list read again: a request with n fields took n * n comparisons on the thread that serves all others. The list is read once now.

--- a/balsamyard/src/Connection/TargetProtocol.cpp
+++ b/balsamyard/src/Connection/TargetProtocol.cpp
@@ -179,8 +179,9 @@
       .append(" ")
       .append(Request.Target)
       .append(" HTTP/1.1\r\n");
+  const HopByHopFields HopByHop(Request.Fields);
   for (const HttpField &Field : Request.Fields) {
-    if (isHopByHop(Request.Fields, Field.Name) ||
+    if (HopByHop.contains(Field.Name) ||
         sameHeaderName(Field.Name, "content-length") ||
         sameHeaderName(Field.Name, "expect") ||
         sameHeaderName(Field.Name, this->Names.TimeLeft) ||
@@ -268,8 +269,9 @@
                [&](ForwardedAnswer &Forwarded) {
                  HttpResponse &Response = Forwarded.Response;
                  appendStatusLine(Head, Response.Status);
+                 const HopByHopFields HopByHop(Response.Fields);
                  for (const HttpField &Field : Response.Fields)
-                   if (!isHopByHop(Response.Fields, Field.Name) &&
+                   if (!HopByHop.contains(Field.Name) &&
                        !sameHeaderName(Field.Name, "content-length"))
                      appendField(Head, Field.Name, Field.Value);
                  AppendBody(std::move(Response.Body));
--- a/balsamyard/src/Core/Http.cpp
+++ b/balsamyard/src/Core/Http.cpp
@@ -11,6 +11,13 @@
   return C >= 'A' && C <= 'Z' ? static_cast<char>(C - 'A' + 'a') : C;
 }
 
+std::string lower(std::string_view Text) {
+  std::string Result(Text);
+  std::transform(Result.begin(), Result.end(), Result.begin(),
+                 [](char C) { return lower(C); });
+  return Result;
+}
+
 /// \returns whether \p Predicate is true for an element of a comma-separated
 /// list.
 template <typename Function>
@@ -66,7 +73,17 @@
   return false;
 }
 
-bool isHopByHop(const HttpFields &Fields, std::string_view Name) {
+HopByHopFields::HopByHopFields(const HttpFields &Fields) {
+  for (const HttpField &Field : Fields)
+    if (sameHeaderName(Field.Name, "connection"))
+      anyOf(Field.Value, [this](std::string_view Element) {
+        this->Listed.push_back(lower(Element));
+        return false;
+      });
+  std::sort(this->Listed.begin(), this->Listed.end());
+}
+
+bool HopByHopFields::contains(std::string_view Name) const {
   constexpr std::array<std::string_view, 9> Names = {"connection",
                                                      "keep-alive",
                                                      "proxy-connection",
@@ -79,7 +96,9 @@
   for (std::string_view HopByHopName : Names)
     if (sameHeaderName(HopByHopName, Name))
       return true;
-  return Fields.hasListElement("connection", Name);
+  return !this->Listed.empty() &&
+         std::binary_search(this->Listed.begin(), this->Listed.end(),
+                            lower(Name));
 }
 
 std::string_view reasonPhrase(int Status) {
--- a/balsamyard/src/Core/Http.h
+++ b/balsamyard/src/Core/Http.h
@@ -77,10 +77,17 @@
   std::size_t size() const { return this->Head.size() + this->Body.size(); }
 };
 
-/// \returns whether a field is hop-by-hop and must not be forwarded: the fields
-/// of RFC 9110, section 7.6.1, and those that the Connection field of \p Fields
-/// lists.
-bool isHopByHop(const HttpFields &Fields, std::string_view Name);
+/// \brief The fields of a message that are hop-by-hop and must not be forwarded:
+/// those of RFC 9110, section 7.6.1, and those that its Connection fields list.
+class HopByHopFields {
+public:
+  explicit HopByHopFields(const HttpFields &Fields);
+
+  bool contains(std::string_view Name) const;
+
+private:
+  std::vector<std::string> Listed; ///< In lower case and in order.
+};
 
 /// \returns the reason phrase of a status.
 std::string_view reasonPhrase(int Status);
