Log: cut long texts

A request id may be as long as a head, and bytes that are no UTF-8 take three times their size in a line, of which 4,096 wait when the log is read slowly. Texts are cut at 1 KiB. The new test needs lines below 4 KiB; without the cut they have 60 KB and more (by their content; not run).

--- a/balsamyard/src/Core/Http.h
+++ b/balsamyard/src/Core/Http.h
@@ -77,8 +77,9 @@
   std::size_t size() const { return this->Head.size() + this->Body.size(); }
 };
 
-/// \brief The fields of a message that are hop-by-hop and must not be forwarded:
-/// those of RFC 9110, section 7.6.1, and those that its Connection fields list.
+/// \brief The fields of a message that are hop-by-hop and must not be
+/// forwarded: those of RFC 9110, section 7.6.1, and those that its Connection
+/// fields list.
 class HopByHopFields {
 public:
   explicit HopByHopFields(const HttpFields &Fields);
--- a/balsamyard/src/Core/Log.cpp
+++ b/balsamyard/src/Core/Log.cpp
@@ -104,7 +104,7 @@
 
 struct ValueText {
   std::string operator()(const std::string &Value) const {
-    return jsonText(Value);
+    return jsonText(std::string_view(Value).substr(0, MaxLoggedTextBytes));
   }
   std::string operator()(std::int64_t Value) const {
     return std::to_string(Value);
--- a/balsamyard/src/Core/Log.h
+++ b/balsamyard/src/Core/Log.h
@@ -30,6 +30,10 @@
 /// 300 bytes a line. Lines that do not fit are dropped and counted.
 inline constexpr std::size_t LogQueueLines = 4096;
 
+/// \brief Longer texts are cut: some come from callers, and thousands of lines
+/// may wait to be written.
+inline constexpr std::size_t MaxLoggedTextBytes = 1024;
+
 /// \brief Opens the sink and sets the process fields of every line. An empty
 /// \p File is standard error, "-" is standard output. Lines written before the
 /// first call are discarded.
--- a/tests/path/QueuedLogTest.cpp
+++ b/tests/path/QueuedLogTest.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 #include <cstdio>
 #include <fcntl.h>
+#include <fstream>
 #include <string>
 #include <sys/stat.h>
 #include <thread>
@@ -42,3 +43,25 @@
   ::close(Reader);
   std::remove(Path.c_str());
 }
+
+// Guards against lines that callers make as long as their requests: thousands
+// of them may wait in the queue.
+SCENARIO("a long text is logged", "[log]") {
+  const std::string Path = "/tmp/balsamyard-text-" + std::to_string(::getpid());
+  openLog("node", {"n"}, {"d"}, Path, LogDelivery::Immediate);
+  for (const std::string &Text :
+       {std::string(60'000, 'x'), std::string(60'000, '\xff')})
+    logEvent(LogLevel::Info, "event", {{"request", "id-" + Text}});
+  closeLog();
+  std::ifstream File(Path);
+  int Lines = 0;
+  for (std::string Line; std::getline(File, Line); ++Lines) {
+    THEN("line " + std::to_string(Lines) + " is valid and short") {
+      CHECK(Line.size() < 4 * MaxLoggedTextBytes);
+      CHECK(Line.find("\"request\":\"id-") != std::string::npos);
+      CHECK(Line.ends_with("\"}"));
+    }
+  }
+  CHECK(Lines == 2);
+  std::remove(Path.c_str());
+}
