Tests: wait until all nodes of the followed fleet serve

FleetAgentTest failed in a run of all path tests ("REQUIRE( Target )" in ForReaders). Traced: the follower may learn of the target from one reader before the others have read the store, and the fixture waited for the follower only. The fixture now waits for all nodes; no check or bound has changed.

--- a/tests/path/FleetAgentTest.cpp
+++ b/tests/path/FleetAgentTest.cpp
@@ -3,6 +3,7 @@
 #include "tests/path/FakeFleet.h"
 #include "tests/path/PathWorld.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <unistd.h>
 
@@ -45,14 +46,18 @@
       this->addNode();
     REQUIRE(this->runUntil(
         [&] {
-          return this->follower().serving() &&
-                 this->isFollowing(*this->Nodes[3]);
+          return this->areAllServing() && this->isFollowing(this->follower());
         },
         20 * Second));
   }
 
   AgentNode &follower() { return *this->Nodes.back(); }
 
+  bool areAllServing() const {
+    return std::all_of(this->Nodes.begin(), this->Nodes.end(),
+                       [](const auto &Node) { return Node->serving(); });
+  }
+
   static bool isFollowing(const AgentNode &Node) {
     return !Node.Agent->readsStore();
   }
