Node: do not take a pause of the process for callers that stall

After a pause (SIGSTOP, a VM that stands still while the clock runs) each answer that was being written looked stalled for as long, and would have been closed by the check that comes first. That check is left out after a lag of more than a second; the next one, 100 ms later, sees what the callers have taken since. Found by reading; not shown by a run, no test.

--- a/balsamyard/src/Process/Node.cpp
+++ b/balsamyard/src/Process/Node.cpp
@@ -142,7 +142,10 @@
 
 void WorkerThread::tick() {
   this->Channels.tick(steadyNow());
-  this->Callers.endStalled(steadyNow(), &this->Memory.Answers);
+  // While this thread does not run, no peer can take anything.
+  const TimePoint Now = steadyNow();
+  if (Now - this->Context.NextTick < MaxTickLag)
+    this->Callers.endStalled(Now, &this->Memory.Answers);
   this->logEvictions();
   this->Context.NextTick = steadyNow() + TickInterval;
   this->Timer.expires_at(this->Context.NextTick);
--- a/balsamyard/src/Process/Node.h
+++ b/balsamyard/src/Process/Node.h
@@ -94,6 +94,9 @@
   /// How often deadlines and idle connections are checked.
   static constexpr Duration TickInterval = std::chrono::milliseconds(100);
 
+  /// A check that is later than this follows a pause of the process or the VM.
+  static constexpr Duration MaxTickLag = std::chrono::seconds(1);
+
   asio::io_context Io;
   asio::executor_work_guard<asio::io_context::executor_type> Work;
   const RcuCell<FleetView> &View;
