Answers: end only as many stalled ones as the memory needs

While the memory of answers is scarce, those that have stalled longest end until half of it is free.

--- a/balsamyard/src/Connection/ConnectionTable.cpp
+++ b/balsamyard/src/Connection/ConnectionTable.cpp
@@ -51,12 +51,12 @@
 void ConnectionTable::endStalled(TimePoint Now, const MessageMemory *Answers) {
   for (auto Next = this->Writers.begin(); Next != this->Writers.end();) {
     ServerConnection &Writer = *Next++;
-    if (Writer.isStalled(Now))
-      this->evict(Writer);
-    else if (Writer.stalledFor(Now) < MinStall || Answers == nullptr ||
-             !Answers->isScarce())
+    const bool IsStalled = Writer.isStalled(Now);
+    const bool IsInTheWay = Answers != nullptr && Answers->isScarce() &&
+                            Writer.stalledFor(Now) >= MinStall;
+    if (!IsStalled && !IsInTheWay)
       return;
-    else if (Writer.holdsMemory())
+    if (IsStalled || Writer.holdsMemory())
       this->evict(Writer);
   }
 }
--- a/balsamyard/src/Connection/ServerConnection.cpp
+++ b/balsamyard/src/Connection/ServerConnection.cpp
@@ -268,6 +268,9 @@
   if (this->CurrentState == State::Writing) {
     asio::error_code Ignored;
     this->Socket.set_option(asio::socket_base::linger(true, 0), Ignored);
+    // The bytes are freed when the write ends, which it does at once. Others
+    // need not be evicted for them.
+    this->Outgoing.Share = nullptr;
   }
   this->close();
 }
