--- a/balsamyard/src/Connection/ConnectionTable.h
+++ b/balsamyard/src/Connection/ConnectionTable.h
@@ -59,8 +59,8 @@
   }
 
 private:
-  /// Also on a slow network, a peer that reads takes something within this
-  /// time.
+  /// An answer of which the peer took something within this time is not ended
+  /// because memory is scarce.
   static constexpr Duration MinStall = std::chrono::milliseconds(100);
 
   using Hook = boost::intrusive::list_member_hook<>;
