--- a/review/common-2/Standins.h
+++ b/review/common-2/Standins.h
@@ -340,7 +340,10 @@
 public:
   Store()
       : Front([this](const std::shared_ptr<Stream> &Peer) {
-          this->serve(*Peer);
+          this->serve(*Peer, true);
+        }),
+        Second([this](const std::shared_ptr<Stream> &Peer) {
+          this->serve(*Peer, false);
         }) {}
   ~Store() {
     {
@@ -352,6 +355,24 @@
 
   std::string at() const { return this->Front.at(); }
 
+  /// \returns the second address of the same store.
+  std::string secondAt() const { return this->Second.at(); }
+
+  /// \brief The first address answers all calls with 503 from now on.
+  void leaveFirst() {
+    {
+      const std::lock_guard<std::mutex> Lock(this->Mutex);
+      this->Left = true;
+    }
+    this->Changed.notify_all();
+  }
+
+  /// \brief The first address is closed, with its connections.
+  void closeFirst() { this->Front.stop(); }
+
+  /// \returns the calls at the second address so far.
+  int callsAtSecond() const { return this->SecondCalls; }
+
   void put(const std::string &Kind, const std::string &Name,
            const json &Spec) {
     const std::lock_guard<std::mutex> Lock(this->Mutex);
@@ -434,12 +455,14 @@
     return Result;
   }
 
-  void serve(Stream &Peer) {
+  void serve(Stream &Peer, bool First) {
     while (true) {
       const Message Call = Peer.read();
       if (!Call.Complete)
         return;
-      if (!Peer.send(this->handle(Call)))
+      if (!First)
+        ++this->SecondCalls;
+      if (!Peer.send(this->handle(Call, First)))
         return;
     }
   }
@@ -448,7 +471,7 @@
                   Body.dump());
   }
 
-  std::string handle(const Message &Call) {
+  std::string handle(const Message &Call, bool First) {
     const std::string Target = Call.word(1);
     std::vector<std::string> Path;
     const std::string Plain = Target.substr(0, Target.find('?'));
@@ -461,6 +484,8 @@
       return this->reply(404, nullptr);
     const std::string Kind = Path[1];
     std::unique_lock<std::mutex> Lock(this->Mutex);
+    if (First && this->Left)
+      return this->reply(503, nullptr);
     if (Call.word(0) != "GET")
       return this->write(Call, Kind, Path);
     if (Path.size() > 2) {
@@ -470,7 +495,7 @@
                  : this->reply(200, toJson(Path[2], Found->second));
     }
     if (const std::string Since = query(Target, "watch"); !Since.empty())
-      return this->watch(Lock, Kind, std::stoull(Since),
+      return this->watch(Lock, Kind, First, std::stoull(Since),
                          Millis(std::atoi(query(Target, "waitMs").c_str())));
     json Items = json::array();
     const std::string After = decoded(query(Target, "after"));
@@ -489,9 +514,11 @@
   }
 
   std::string watch(std::unique_lock<std::mutex> &Lock, const std::string &Kind,
-                    std::uint64_t Since, Millis Wait) {
+                    bool First, std::uint64_t Since, Millis Wait) {
     const Clock::time_point End = Clock::now() + Wait;
     while (true) {
+      if (First && this->Left)
+        return this->reply(503, nullptr);
       json Events = json::array();
       for (const Event &Past : this->History)
         if (Past.Kind == Kind && Past.Value.Revision > Since)
@@ -541,7 +568,10 @@
   std::map<std::string, std::map<std::string, Object>> Kinds;
   std::vector<Event> History;
   bool Ending = false;
+  bool Left = false; ///< The first address serves nobody any more.
+  std::atomic<int> SecondCalls{0};
   Server Front;
+  Server Second;
 };
 
 /// \brief A leaf. \p Act answers the requests that it accepts.
@@ -683,7 +713,15 @@
     this->Host = "127." + std::to_string(64 + Id / 250 % 120) + "." +
                  std::to_string(1 + Id % 250) + "." +
                  std::to_string(Number + 1);
-    std::ofstream File(this->Home + "/" + this->Name + ".yaml");
+    this->Cores = Cores;
+    this->MemoryMb = MemoryMb;
+    this->writeSettings(Store);
+  }
+
+  /// \brief Replaces the settings file as a whole.
+  void writeSettings(const std::string &Store) const {
+    const std::string Path = this->Home + "/" + this->Name + ".yaml";
+    std::ofstream File(Path + ".next");
     File << "nodeName: \"" << this->Name << "\"\nrole: \"node\"\n"
          << "machineClass: \"front\"\nserves:\n  - \"front\"\nip: \""
          << this->Host << "\"\nzone: \"z\"\nregion: \"r\"\nzones:\n  z: \"r\"\n"
@@ -691,7 +729,7 @@
          << "\"\n  readinessAddr: \"" << this->Host << ":" << Ready << "\"\n"
          << "internalPorts:\n  - 7380\n  - 7395\nseedNodes: []\n"
          << "bootstrap: true\nlossCounted: false\nlimits:\n  cpuShare: 0.25\n"
-         << "  cores: " << Cores << "\n  memoryMb: " << MemoryMb
+         << "  cores: " << this->Cores << "\n  memoryMb: " << this->MemoryMb
          << "\n  maxFds: 4100\n"
          << "  linkMbps: 1000.0\n  diskMb: 0\ndataDir: null\n"
          << "discovery: \"platform\"\nentry: \"vip\"\nheartbeatMs: 1200\n"
@@ -706,6 +744,9 @@
          << "platform:\n  address: \"" << Store << "\"\n  form: \"objects\"\n"
          << "  writesPerS: 400\n  readsPerS: 2000\n  historyS: 20\n"
          << "  valueBytes: 1048576\n  ttlMinMs: 1000\n";
+    File.close();
+    if (std::rename((Path + ".next").c_str(), Path.c_str()) != 0)
+      throw CannotRun("the settings cannot be written");
   }
   ~Node() {
     if (this->Process <= 0)
@@ -793,6 +834,8 @@
   const std::string Home;
   const std::string Name;
   std::string Host;
+  int Cores = 1;
+  int MemoryMb = 260;
   pid_t Process = 0;
   std::optional<int> Status;
 };
