--- a/review/8/case.cpp
+++ b/review/8/case.cpp
@@ -1,6 +1,5 @@
-// Three machines of a zone freeze. A fourth one, which is sound, learns of the
-// state of the store through one of them, and goes on to send requests to a leaf
-// that has left.
+// A version of the config raises the limits. Requests on connections that were
+// idle meanwhile are refused by the limits of the version before.
 
 #include "Standins.h"
 
@@ -8,103 +7,63 @@
 
 namespace {
 
-constexpr Millis DrainTime(3000);
-constexpr int Nodes = 4;
-constexpr int Frozen = 3;
+constexpr int Consumers = 20;
+constexpr std::size_t BodyBytes = 10000;
+
+json configuration(int Version, int MaxBodyBytes) {
+  json Result = config(Version,
+                       json::array({route("permit", {{"service", "permit"}})}),
+                       json::array({service("permit")}));
+  Result["limits"]["maxBodyBytes"] = MaxBodyBytes;
+  return Result;
+}
 
 bool play(Record &Lines) {
   const Folder Home;
   Store Platform;
-  std::mutex Mutex;
-  std::vector<std::pair<Clock::time_point, std::string>> Arrivals;
-  Leaf Leaving("i-a", "permit", [&](Stream &Peer, const Message &Request) {
-    {
-      const std::lock_guard<std::mutex> Lock(Mutex);
-      Arrivals.emplace_back(Clock::now(),
-                            Request.field("X-Balsamyard-Attempt-Id"));
-    }
-    sleepFor(Millis(5));
-    return Peer.send(Leaving.success(Request, "permit record"));
-  });
-  Leaf Staying("i-b", "permit", [&](Stream &Peer, const Message &Request) {
-    sleepFor(Millis(5));
-    return Peer.send(Staying.success(Request, "permit record"));
+  Leaf Permit("i-1", "permit", [&](Stream &Peer, const Message &Request) {
+    return Peer.send(Permit.success(Request, "permit record"));
   });
-  Platform.put("servers", Leaving.Id, Leaving.entry());
-  Platform.put("servers", Staying.Id, Staying.entry());
+  Platform.put("servers", Permit.Id, Permit.entry());
   Platform.put("config", "main",
-               config(7,
-                      json::array({route("permit", {{"service", "permit"}})}),
-                      json::array({service("permit")})));
-  std::vector<std::unique_ptr<Node>> Fronts;
-  for (int Number = 0; Number < Nodes; ++Number) {
-    Fronts.push_back(std::make_unique<Node>(Home, Number, Platform.at()));
-    Fronts.back()->start();
-  }
-  for (const auto &Front : Fronts)
-    Front->waitUntilReady();
-  // The nodes have registered and listed each other.
-  sleepFor(Millis(14000));
-
-  const Node &Sound = *Fronts.back();
-  std::atomic<bool> Ending{false};
-  std::atomic<int> Served{0};
-  std::vector<std::thread> Consumers;
-  for (int Consumer = 0; Consumer < 3; ++Consumer)
-    Consumers.emplace_back([&, Consumer] {
-      std::unique_ptr<Stream> Link;
-      for (int Number = 0; !Ending; ++Number) {
-        if (!Link || !Link->isOpen()) {
-          Link = Sound.connect();
-          if (Link->isOpen())
-            Link->readTimeout(Millis(3000));
-        }
-        const std::string Id =
-            "c" + std::to_string(Consumer) + "-" + std::to_string(Number);
-        if (!Link->isOpen() ||
-            !Link->send(request("GET", "/permit/" + Id, Id, 1200)) ||
-            !Link->read().Complete)
-          Link.reset();
-        else
-          ++Served;
-        sleepFor(Millis(10));
-      }
-    });
+               configuration(7, hasTrouble() ? 1024 : 262144));
+  Node Front(Home, 0, Platform.at());
+  Front.start();
+  Front.waitUntilReady();
   sleepFor(Millis(5000)); // contactMs, and a second
-  if (hasTrouble())
-    for (int Number = 0; Number < Frozen; ++Number) {
-      Lines.line("freeze " + Fronts[Number]->name());
-      Fronts[Number]->signal(SIGSTOP);
-    }
-  Platform.remove("servers", Leaving.Id);
-  const Clock::time_point Ack = Clock::now();
-  Lines.line("the store accepts that " + Leaving.Id + " is gone");
-  sleepFor(Millis(4500));
-  if (hasTrouble())
-    for (int Number = 0; Number < Frozen; ++Number) {
-      Lines.line("wake " + Fronts[Number]->name());
-      Fronts[Number]->signal(SIGCONT);
-    }
-  Ending = true;
-  for (std::thread &Each : Consumers)
-    Each.join();
-  if (Served == 0)
-    throw CannotRun("no request was served");
-  Lines.line(std::to_string(Served) + " requests were served by " +
-             Sound.name());
-  int Late = 0;
-  for (const auto &[At, Id] : Arrivals) {
-    const auto After = std::chrono::duration_cast<Millis>(At - Ack);
-    if (After > DrainTime + Millis(10)) {
-      ++Late;
-      Lines.line("request " + Id + ", sent to " + Sound.name() + ", reached " +
-                 Leaving.Id + " " + std::to_string(After.count()) +
-                 " ms after the ack");
-    }
+
+  const auto Ask = [&](Stream &Link, const std::string &Id,
+                       std::size_t Length) {
+    Link.send(request("POST", "/permit/" + Id, Id, 1200, "",
+                      std::string(Length, 'b')));
+    const Message Answer = Link.read();
+    Lines.line("request " + Id + " with " + std::to_string(Length) +
+               " bytes: " + Answer.StartLine + " " +
+               Answer.field("X-Balsamyard-Server-Stamp"));
+    return Answer.status();
+  };
+  std::vector<std::unique_ptr<Stream>> Links;
+  for (int Number = 0; Number < Consumers; ++Number) {
+    Links.push_back(Front.connect());
+    Links.back()->readTimeout(Millis(3000));
+    if (Ask(*Links.back(), "first-" + std::to_string(Number), 500) != 200)
+      throw CannotRun("the first request was not served");
   }
-  Lines.line(std::to_string(Late) + " requests reached " + Leaving.Id +
-             " later than drainMs after the ack");
-  return Late > 0;
+  Platform.put("config", "main", configuration(9, 262144));
+  Lines.line("the store accepts version 9, with maxBodyBytes 262144");
+  sleepFor(Millis(6000)); // twice configApplyMs; idleTimeoutMs is 15 s
+  const auto Fresh = Front.connect();
+  Fresh->readTimeout(Millis(3000));
+  if (Ask(*Fresh, "fresh", BodyBytes) != 200)
+    throw CannotRun("a new connection is refused as well");
+  int Refused = 0;
+  for (int Number = 0; Number < Consumers; ++Number)
+    if (Ask(*Links[Number], "second-" + std::to_string(Number), BodyBytes) ==
+        413)
+      ++Refused;
+  Lines.line(std::to_string(Refused) + " of " + std::to_string(Consumers) +
+             " requests were refused with 413, 6 s after the ack");
+  return Refused > 0;
 }
 
 } // namespace
