--- a/review/8/case.cpp
+++ b/review/8/case.cpp
@@ -11,9 +11,9 @@
 constexpr std::size_t BodyBytes = 10000;
 
 json configuration(int Version, int MaxBodyBytes) {
-  json Result = config(Version,
-                       json::array({route("permit", {{"service", "permit"}})}),
-                       json::array({service("permit")}));
+  json Result =
+      config(Version, json::array({route("permit", {{"service", "permit"}})}),
+             json::array({service("permit")}));
   Result["limits"]["maxBodyBytes"] = MaxBodyBytes;
   return Result;
 }
--- a/review/common-2/Standins.h
+++ b/review/common-2/Standins.h
@@ -172,10 +172,9 @@
       const std::size_t Colon = Line.find(':');
       if (Colon != std::string::npos) {
         std::size_t Value = Line.find_first_not_of(" \t", Colon + 1);
-        Result.Fields.emplace_back(Line.substr(0, Colon),
-                                   Value == std::string::npos
-                                       ? ""
-                                       : Line.substr(Value));
+        Result.Fields.emplace_back(
+            Line.substr(0, Colon),
+            Value == std::string::npos ? "" : Line.substr(Value));
       }
       At = Next + 2;
     }
@@ -204,8 +203,7 @@
       while ((End = this->Buffer.find("\r\n")) == std::string::npos)
         if (!this->fill())
           return Result;
-      const std::size_t Size =
-          std::strtoull(this->Buffer.c_str(), nullptr, 16);
+      const std::size_t Size = std::strtoull(this->Buffer.c_str(), nullptr, 16);
       while (this->Buffer.size() < End + 2 + Size + 2)
         if (!this->fill())
           return Result;
@@ -277,8 +275,7 @@
     this->Port = ntohs(At.sin_port);
     this->Accepting = std::thread([this, Handle = this->Listening] {
       while (true) {
-        const int Accepted =
-            ::accept4(Handle, nullptr, nullptr, SOCK_CLOEXEC);
+        const int Accepted = ::accept4(Handle, nullptr, nullptr, SOCK_CLOEXEC);
         if (Accepted < 0)
           return;
         const int NoDelay = 1;
@@ -373,8 +370,7 @@
   /// \returns the calls at the second address so far.
   int callsAtSecond() const { return this->SecondCalls; }
 
-  void put(const std::string &Kind, const std::string &Name,
-           const json &Spec) {
+  void put(const std::string &Kind, const std::string &Name, const json &Spec) {
     const std::lock_guard<std::mutex> Lock(this->Mutex);
     this->change(Kind, Name, Spec, this->Kinds[Kind][Name].Status);
   }
@@ -525,8 +521,7 @@
           Events.push_back({{"object", toJson(Past.Name, Past.Value)},
                             {"removed", Past.Removed}});
       if (!Events.empty() || Clock::now() >= End || this->Ending)
-        return this->reply(200,
-                           {{"events", Events}, {"asOf", this->Revision}});
+        return this->reply(200, {{"events", Events}, {"asOf", this->Revision}});
       this->Changed.wait_until(Lock, End);
     }
   }
@@ -844,11 +839,12 @@
                            const std::string &Id, int DeadlineMs,
                            const std::string &More = "",
                            const std::string &Body = "") {
-  std::string Result = Method + " " + Path +
-                       " HTTP/1.1\r\nHost: a.example\r\n"
-                       "X-Balsamyard-Attempt-Id: " +
-                       Id + "\r\nX-Balsamyard-Request-Deadline: " +
-                       std::to_string(DeadlineMs) + "\r\n" + More;
+  std::string Result =
+      Method + " " + Path +
+      " HTTP/1.1\r\nHost: a.example\r\n"
+      "X-Balsamyard-Attempt-Id: " +
+      Id + "\r\nX-Balsamyard-Request-Deadline: " + std::to_string(DeadlineMs) +
+      "\r\n" + More;
   if (!Body.empty() || Method == "POST")
     Result += "Content-Length: " + std::to_string(Body.size()) + "\r\n";
   return Result + "\r\n" + Body;
