--- a/review/common-2/Standins.h
+++ b/review/common-2/Standins.h
@@ -4,6 +4,7 @@
 // and the start and end of node processes. Plain sockets, one thread for each
 // connection.
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <atomic>
 #include <chrono>
@@ -584,7 +585,7 @@
   json entry(const std::string &State = "ready") {
     return {{"service", this->Service},
             {"address", this->Front.at()},
-            {"zone", "z"},
+            {"zone", "pos-a"},
             {"version", "v1"},
             {"slots", 8},
             {"state", State},
@@ -679,14 +680,32 @@
 // ---------------------------------------------------------------------------
 // Node processes
 
+/// \brief The processes that this program has started, for its end by a signal.
+inline std::atomic<pid_t> StartedProcesses[64];
+
+inline void noteProcess(pid_t Former, pid_t Next) {
+  for (std::atomic<pid_t> &Slot : StartedProcesses)
+    if (pid_t Expected = Former; Slot.compare_exchange_strong(Expected, Next))
+      return;
+}
+
+/// \brief Ends all processes and this program, which could not run to its end.
+inline void onStopSignal(int) {
+  for (const std::atomic<pid_t> &Slot : StartedProcesses)
+    if (Slot > 0)
+      ::kill(Slot, SIGKILL);
+  ::_exit(2);
+}
+
 /// \brief Folder of a run, removed at its end.
 class Folder {
 public:
   Folder() {
-    char Name[] = "/tmp/review-2-XXXXXX";
-    if (::mkdtemp(Name) == nullptr)
+    const char *Parent = std::getenv("TMPDIR");
+    this->Path =
+        (Parent == nullptr ? "/tmp" : std::string(Parent)) + "/review-2-XXXXXX";
+    if (::mkdtemp(this->Path.data()) == nullptr)
       throw CannotRun("no temporary folder");
-    this->Path = Name;
   }
   ~Folder() {
     std::error_code Ignored;
@@ -701,15 +720,14 @@
   static constexpr int Front = 8104;
   static constexpr int Ready = 8108;
 
-  Node(const Folder &Home, int Number, const std::string &Store, int Cores = 1,
-       int MemoryMb = 260)
-      : Home(Home.Path), Name("front-z-" + std::to_string(Number)) {
+  Node(const Folder &Home, int Number, const std::string &Store,
+       const std::string &Zone = "pos-a")
+      : Home(Home.Path),
+        Name("front-" + Zone + "-" + std::to_string(Number + 1)), Zone(Zone) {
     const int Id = ::getpid();
     this->Host = "127." + std::to_string(64 + Id / 250 % 120) + "." +
                  std::to_string(1 + Id % 250) + "." +
                  std::to_string(Number + 1);
-    this->Cores = Cores;
-    this->MemoryMb = MemoryMb;
     this->writeSettings(Store);
   }
 
@@ -719,13 +737,17 @@
     std::ofstream File(Path + ".next");
     File << "nodeName: \"" << this->Name << "\"\nrole: \"node\"\n"
          << "machineClass: \"front\"\nserves:\n  - \"front\"\nip: \""
-         << this->Host << "\"\nzone: \"z\"\nregion: \"r\"\nzones:\n  z: \"r\"\n"
+         << this->Host << "\"\nzone: \"" << this->Zone << "\"\nregion: \""
+         << (this->Zone == "pos-a"    ? "north-west"
+             : this->Zone == "chag-a" ? "central"
+                                      : "south")
+         << "\"\nzones:\n  pos-a: \"north-west\"\n  chag-a: \"central\"\n  "
+            "sando-a: \"south\"\n"
          << "listen:\n  front: \"" << this->Host << ":" << Front
          << "\"\n  readinessAddr: \"" << this->Host << ":" << Ready << "\"\n"
          << "internalPorts:\n  - 7380\n  - 7395\nseedNodes: []\n"
          << "bootstrap: true\nlossCounted: false\nlimits:\n  cpuShare: 0.25\n"
-         << "  cores: " << this->Cores << "\n  memoryMb: " << this->MemoryMb
-         << "\n  maxFds: 4100\n"
+         << "  cores: 1\n  memoryMb: 260\n  maxFds: 4100\n"
          << "  linkMbps: 1000.0\n  diskMb: 0\ndataDir: null\n"
          << "discovery: \"platform\"\nentry: \"vip\"\nheartbeatMs: 1200\n"
          << "bounds:\n  seedLagS: 3\n  addrReuseS: 2\n  contactMs: 4000\n"
@@ -748,6 +770,7 @@
       return;
     ::kill(this->Process, SIGKILL);
     ::waitpid(this->Process, nullptr, 0);
+    noteProcess(this->Process, 0);
   }
 
   void start() {
@@ -779,22 +802,34 @@
     ::posix_spawn_file_actions_destroy(&Files);
     if (Problem != 0)
       throw CannotRun("cannot start " + Program);
+    noteProcess(0, this->Process);
   }
 
+  /// \brief Waits until the node says that it is ready, or knows a config: a
+  /// node may stay "not ready" although it serves (KNOWN-RED.txt).
   void waitUntilReady() {
     for (int Tries = 0; Tries < 300; ++Tries) {
-      const auto Link = connectTo(this->Host, Ready);
-      if (Link->isOpen() &&
-          Link->send("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n")) {
-        Link->readTimeout(Millis(1000));
-        if (Link->read().status() == 200)
-          return;
-      }
+      if (this->statusOf(Ready, "/ready") == 200)
+        return;
+      if (Tries > 200 && this->statusOf(Front, "/no-such-route/") == 404)
+        return;
       sleepFor(Millis(50));
     }
     throw CannotRun(this->Name + " did not become ready");
   }
 
+  /// \returns the status of the answer to a GET request, 0 if there is none.
+  int statusOf(int Port, const std::string &Path) const {
+    const auto Link = connectTo(this->Host, Port);
+    if (!Link->isOpen())
+      return 0;
+    Link->readTimeout(Millis(1000));
+    Link->send("GET " + Path +
+               " HTTP/1.1\r\nHost: a.example\r\n"
+               "X-Balsamyard-Attempt-Id: probe\r\n\r\n");
+    return Link->read().status();
+  }
+
   void signal(int Number) const { ::kill(this->Process, Number); }
 
   /// \returns the wait status if the process has ended.
@@ -804,6 +839,7 @@
       return this->Status;
     if (::waitpid(this->Process, &Status, WNOHANG) <= 0)
       return std::nullopt;
+    noteProcess(this->Process, 0);
     this->Process = 0;
     this->Status = Status;
     return Status;
@@ -828,9 +864,8 @@
 private:
   const std::string Home;
   const std::string Name;
+  const std::string Zone;
   std::string Host;
-  int Cores = 1;
-  int MemoryMb = 260;
   pid_t Process = 0;
   std::optional<int> Status;
 };
@@ -860,6 +895,8 @@
 inline int run(int Count, char **Arguments,
                const std::function<bool(Record &)> &Play) {
   std::signal(SIGPIPE, SIG_IGN);
+  std::signal(SIGTERM, onStopSignal);
+  std::signal(SIGINT, onStopSignal);
   if (Count < 2)
     return 2;
   Record Lines(Arguments[1]);
